--- /dev/null
+++ b/internal/event/node.go
@@ -0,0 +1,16 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// Events of the node's lifecycle.
+var (
+	NodeStarted     = declare(1001, "node-started", logrus.InfoLevel, "node started")
+	NodeReady       = declare(1002, "node-ready", logrus.InfoLevel, "node is ready for callers")
+	NodeLeaving     = declare(1003, "node-leaving", logrus.InfoLevel, "node is leaving; new work is refused")
+	NodeStopped     = declare(1004, "node-stopped", logrus.InfoLevel, "node stopped")
+	DrainTimedOut   = alarm(1005, "drain-timed-out", "requests still in flight were cut off after the longest drain wait")
+	SettingsRead    = declare(1006, "settings-read", logrus.InfoLevel, "settings were read again")
+	SettingsRefused = declare(1007, "settings-refused", logrus.ErrorLevel, "settings could not be read again; the old ones stay in force")
+	ListenerFailed  = declare(1008, "listener-failed", logrus.ErrorLevel, "a listener failed")
+	AuthRefused     = declare(1009, "auth-refused", logrus.WarnLevel, "a peer or operator without valid credentials was refused")
+)
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,84 @@
+// Package metric holds the node's counters and histograms. Label values that
+// callers choose are bounded in number.
+package metric
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// MaxTenants is how many tenants get time series of their own on one node; the
+// rest share the label "other". At about 2 KB a series this keeps tenants
+// below 2 MB although 250,000 organisations may call.
+const MaxTenants = 256
+
+// Set is the metrics of one node.
+type Set struct {
+	set     *metrics.Set
+	mu      sync.Mutex
+	tenants sync.Map // tenant -> *metrics.Histogram
+	count   atomic.Int64
+	other   *metrics.Histogram
+	classes sync.Map // classKey -> *metrics.Histogram
+}
+
+type classKey struct {
+	service, class, outcome string
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	s := &Set{set: metrics.NewSet()}
+	s.other = s.set.NewHistogram(`siskinvale_tenant_request_seconds{tenant="other"}`)
+	return s
+}
+
+// Request records the duration of one request as its caller saw it.
+func (s *Set) Request(service, class, tenant, outcome string, took time.Duration) {
+	s.class(classKey{service, class, outcome}).Update(took.Seconds())
+	s.tenant(tenant).Update(took.Seconds())
+}
+
+func (s *Set) class(k classKey) *metrics.Histogram {
+	if h, ok := s.classes.Load(k); ok {
+		return h.(*metrics.Histogram)
+	}
+	name := fmt.Sprintf("siskinvale_request_seconds{service=%q,class=%q,outcome=%q}", k.service, k.class, k.outcome)
+	h, _ := s.classes.LoadOrStore(k, s.set.GetOrCreateHistogram(name))
+	return h.(*metrics.Histogram)
+}
+
+func (s *Set) tenant(name string) *metrics.Histogram {
+	if h, ok := s.tenants.Load(name); ok {
+		return h.(*metrics.Histogram)
+	}
+	if s.count.Load() >= MaxTenants {
+		return s.other
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h, ok := s.tenants.Load(name); ok {
+		return h.(*metrics.Histogram)
+	}
+	if s.count.Load() >= MaxTenants {
+		return s.other
+	}
+	h := s.set.GetOrCreateHistogram(fmt.Sprintf("siskinvale_tenant_request_seconds{tenant=%q}", name))
+	s.tenants.Store(name, h)
+	s.count.Add(1)
+	return h
+}
+
+// Counter returns the counter with the given name, which may carry labels.
+func (s *Set) Counter(name string) *metrics.Counter { return s.set.GetOrCreateCounter(name) }
+
+// Gauge registers a gauge whose value f is read at each scrape.
+func (s *Set) Gauge(name string, f func() float64) { s.set.GetOrCreateGauge(name, f) }
+
+// WritePrometheus writes all metrics in the Prometheus text format.
+func (s *Set) WritePrometheus(w io.Writer) { s.set.WritePrometheus(w) }
