Add node settings and the link between nodes

Cause: an ingress needs a way to hand a call to the node beside the target that keeps truncated answers visible, matches answers to attempts and tells proven not-run from doubt. Change: settings are checked as a whole; forwarded calls are plain HTTP/2 requests; answers repeat the attempt identifier; a connection without answer to pings is closed within one second. net/http replays requests that carry an Idempotency-Key by itself; PreventReplay stops this, and its test fails without it (three requests received instead of two).

--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,265 @@
+// Package config reads and checks the settings of a node. Settings are YAML;
+// all problems are reported together, each with its line and column.
+package config
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"siskinvale.dev/siskinvale/internal/auth"
+	"siskinvale.dev/siskinvale/internal/fleet"
+)
+
+// DefaultLongestDrainWait is how long a planned stop waits for requests in
+// flight unless the settings say otherwise.
+const DefaultLongestDrainWait = 120 * time.Second
+
+// Settings are the settings of one node. They do not change after Load; a
+// reload makes new Settings.
+type Settings struct {
+	Node     Identity `yaml:"node"`
+	Listen   Listen   `yaml:"listen"`
+	Peers    []string `yaml:"peers"`
+	Platform Platform `yaml:"platform"`
+	Keys     Keys     `yaml:"keys"`
+	Trust    Trust    `yaml:"trust"`
+	Log      Log      `yaml:"log"`
+	Drain    Drain    `yaml:"drain"`
+	Limits   Limits   `yaml:"limits"`
+}
+
+// Identity names the node and its place.
+type Identity struct {
+	ID         fleet.NodeID `yaml:"id"`
+	Region     string       `yaml:"region"`
+	DataCentre string       `yaml:"dataCentre"`
+}
+
+// Listen holds the node's listening addresses as ip:port.
+type Listen struct {
+	Callers   string `yaml:"callers"`
+	Peers     string `yaml:"peers"`
+	Targets   string `yaml:"targets"`
+	Operators string `yaml:"operators"`
+}
+
+// Platform says how to reach the platform's object API.
+type Platform struct {
+	Address string      `yaml:"address"`
+	Token   auth.Secret `yaml:"token"`
+}
+
+// Keys are the shared keys of nodes and operators; the first of each list
+// signs and all are accepted.
+type Keys struct {
+	Fleet     []Key `yaml:"fleet"`
+	Operators []Key `yaml:"operators"`
+}
+
+// Key is one shared key.
+type Key struct {
+	ID     string      `yaml:"id"`
+	Secret auth.Secret `yaml:"secret"`
+}
+
+// Trust lists the public keys whose signatures a bundle needs.
+type Trust struct {
+	Authors   []PublicKey `yaml:"authors"`
+	Approvers []PublicKey `yaml:"approvers"`
+}
+
+// PublicKey is one Ed25519 public key, base64 encoded.
+type PublicKey struct {
+	ID        string `yaml:"id"`
+	PublicKey string `yaml:"publicKey"`
+}
+
+// Log holds the log settings.
+type Log struct {
+	Level string `yaml:"level"`
+}
+
+// Drain holds the settings of a planned stop.
+type Drain struct {
+	LongestWait time.Duration `yaml:"longestWait"`
+}
+
+// Limits bound what callers can make the node hold.
+type Limits struct {
+	// HeaderBytes is the largest accepted request header.
+	HeaderBytes int `yaml:"headerBytes"`
+	// HeaderTimeout is how long a caller may take to send its header.
+	HeaderTimeout time.Duration `yaml:"headerTimeout"`
+	// IdleTimeout closes callers' connections without requests.
+	IdleTimeout time.Duration `yaml:"idleTimeout"`
+	// InFlight is the largest number of requests that the ingress holds.
+	InFlight int64 `yaml:"inFlight"`
+}
+
+// Load reads and checks a settings file. The error of a file that cannot be
+// read is returned alone; otherwise findings lists every problem and settings
+// is nil if there is one.
+func Load(path string) (settings *Settings, findings []Finding, err error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, fmt.Errorf("read settings: %w", err)
+	}
+	settings, findings = Parse(path, content)
+	return settings, findings, nil
+}
+
+// Parse checks the content of a settings file; file names it in the findings.
+func Parse(file string, content []byte) (*Settings, []Finding) {
+	c := newChecker(file, content)
+	s := defaults()
+	if !c.decode(s) {
+		return nil, c.findings
+	}
+	c.checkIdentity(s)
+	c.checkListen(s)
+	c.checkPeers(s)
+	c.checkPlatform(s)
+	c.checkKeys("$.keys.fleet", s.Keys.Fleet)
+	c.checkKeys("$.keys.operators", s.Keys.Operators)
+	c.checkTrust("$.trust.authors", s.Trust.Authors)
+	c.checkTrust("$.trust.approvers", s.Trust.Approvers)
+	c.checkRest(s)
+	if len(c.findings) > 0 {
+		return nil, c.findings
+	}
+	return s, nil
+}
+
+func defaults() *Settings {
+	return &Settings{
+		Log:   Log{Level: "info"},
+		Drain: Drain{LongestWait: DefaultLongestDrainWait},
+		Limits: Limits{
+			HeaderBytes:   64 << 10,
+			HeaderTimeout: 5 * time.Second,
+			IdleTimeout:   60 * time.Second,
+			InFlight:      10_000,
+		},
+	}
+}
+
+func (c *checker) checkIdentity(s *Settings) {
+	c.required("$.node.id", string(s.Node.ID))
+	c.required("$.node.region", s.Node.Region)
+	c.required("$.node.dataCentre", s.Node.DataCentre)
+}
+
+func (c *checker) checkListen(s *Settings) {
+	seen := map[string]string{}
+	for _, l := range []struct{ path, addr string }{
+		{"$.listen.callers", s.Listen.Callers},
+		{"$.listen.peers", s.Listen.Peers},
+		{"$.listen.targets", s.Listen.Targets},
+		{"$.listen.operators", s.Listen.Operators},
+	} {
+		c.address(l.path, l.addr)
+		if other, ok := seen[l.addr]; ok && l.addr != "" {
+			c.add(l.path, "%s is already used by %s", l.addr, other)
+		}
+		seen[l.addr] = l.path
+	}
+}
+
+func (c *checker) checkPeers(s *Settings) {
+	for i, peer := range s.Peers {
+		c.address(fmt.Sprintf("$.peers[%d]", i), peer)
+	}
+}
+
+func (c *checker) checkPlatform(s *Settings) {
+	const path = "$.platform.address"
+	if s.Platform.Address == "" {
+		c.required(path, "")
+		return
+	}
+	u, err := url.Parse(s.Platform.Address)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.add(path, "%q is not an http or https URL", s.Platform.Address)
+	}
+}
+
+func (c *checker) checkKeys(path string, keys []Key) {
+	if len(keys) == 0 {
+		c.add(path, "at least one key is needed")
+	}
+	seen := map[string]bool{}
+	for i, key := range keys {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		c.required(at+".id", key.ID)
+		if seen[key.ID] {
+			c.add(at+".id", "key %q is listed twice", key.ID)
+		}
+		seen[key.ID] = true
+		if len(key.Secret) < auth.MinSecret {
+			c.add(at+".secret", "the secret is %d bytes long; at least %d are needed", len(key.Secret), auth.MinSecret)
+		}
+	}
+}
+
+func (c *checker) checkTrust(path string, keys []PublicKey) {
+	if len(keys) == 0 {
+		c.add(path, "at least one public key is needed, or no bundle can be accepted")
+	}
+	for i, key := range keys {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		c.required(at+".id", key.ID)
+		if _, err := key.Decode(); err != nil {
+			c.add(at+".publicKey", "%v", err)
+		}
+	}
+}
+
+func (c *checker) checkRest(s *Settings) {
+	if _, err := logrus.ParseLevel(s.Log.Level); err != nil {
+		c.add("$.log.level", "unknown log level %q", s.Log.Level)
+	}
+	c.positive("$.drain.longestWait", s.Drain.LongestWait)
+	c.positive("$.limits.headerTimeout", s.Limits.HeaderTimeout)
+	c.positive("$.limits.idleTimeout", s.Limits.IdleTimeout)
+	c.positive("$.limits.headerBytes", s.Limits.HeaderBytes)
+	c.positive("$.limits.inFlight", s.Limits.InFlight)
+}
+
+// Decode returns the key. The error says what is wrong with its encoding.
+func (k PublicKey) Decode() (ed25519.PublicKey, error) {
+	raw, err := base64.StdEncoding.DecodeString(k.PublicKey)
+	if err != nil {
+		return nil, fmt.Errorf("public key %q is not base64: %w", k.ID, err)
+	}
+	if len(raw) != ed25519.PublicKeySize {
+		return nil, fmt.Errorf("public key %q is %d bytes long; Ed25519 keys have %d", k.ID, len(raw), ed25519.PublicKeySize)
+	}
+	return raw, nil
+}
+
+// AuthKeys converts keys for package auth.
+func AuthKeys(keys []Key) []auth.Key {
+	out := make([]auth.Key, len(keys))
+	for i, k := range keys {
+		out[i] = auth.Key{ID: k.ID, Secret: k.Secret}
+	}
+	return out
+}
+
+func validAddress(addr string) error {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return fmt.Errorf("%q is not ip:port", addr)
+	}
+	if ap.Port() == 0 {
+		return fmt.Errorf("%q has no port", addr)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,74 @@
+package config_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinvale.dev/siskinvale/internal/config"
+)
+
+func TestConfig(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "config")
+}
+
+const valid = `node: {id: n1, region: gulf, dataCentre: mobile}
+listen:
+  callers: 127.0.0.1:7001
+  peers: 127.0.0.1:7002
+  targets: 127.0.0.1:7003
+  operators: 127.0.0.1:7004
+peers: [127.0.0.1:7102]
+platform: {address: "http://127.0.0.1:7000", token: t}
+keys:
+  fleet: [{id: f1, secret: 0123456789abcdef0123456789abcdef}]
+  operators: [{id: o1, secret: 0123456789abcdef0123456789abcdef}]
+trust:
+  authors: [{id: a1, publicKey: AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=}]
+  approvers: [{id: b1, publicKey: AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=}]
+drain: {longestWait: 30s}
+`
+
+var _ = Describe("Parse", func() {
+	It("reads valid settings and fills in defaults", func() {
+		s, findings := config.Parse("node.yaml", []byte(valid))
+		Expect(findings).To(BeEmpty())
+		Expect(s.Drain.LongestWait).To(Equal(30 * time.Second))
+		Expect(s.Log.Level).To(Equal("info"))
+		Expect(s.Limits.InFlight).To(BeNumerically(">", 0))
+	})
+
+	// Guards against an operator who has to mend a file one error at a time.
+	It("reports every problem with its place", func() {
+		broken := strings.NewReplacer(
+			"callers: 127.0.0.1:7001", "callers: localhost",
+			"operators: 127.0.0.1:7004", "operators: 127.0.0.1:7003",
+			"id: n1, ", "",
+			"fleet: [{id: f1, secret: 0123456789abcdef0123456789abcdef}]", "fleet: [{id: f1, secret: short}]",
+		).Replace(valid)
+		_, findings := config.Parse("node.yaml", []byte(broken))
+		var lines []string
+		for _, f := range findings {
+			lines = append(lines, f.String())
+		}
+		Expect(lines).To(ConsistOf(
+			HavePrefix("node.yaml:1:"),
+			"node.yaml:3:12: listen.callers: \"localhost\" is not ip:port",
+			"node.yaml:6:14: listen.operators: 127.0.0.1:7003 is already used by $.listen.targets",
+			ContainSubstring("node.yaml:10:"),
+		))
+		Expect(strings.Join(lines, "\n")).NotTo(ContainSubstring("short}"))
+	})
+
+	It("refuses unknown fields and malformed YAML with their place", func() {
+		_, findings := config.Parse("node.yaml", []byte(valid+"drian: {}\n"))
+		Expect(findings).To(HaveLen(1))
+		Expect(findings[0].String()).To(SatisfyAll(HavePrefix("node.yaml:16:1:"), ContainSubstring("drian")))
+		_, findings = config.Parse("node.yaml", []byte("node: [\n"))
+		Expect(findings).NotTo(BeEmpty())
+	})
+})
--- /dev/null
+++ b/internal/link/call.go
@@ -0,0 +1,82 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+)
+
+// Call is one attempt of a request on its way to a sidecar.
+type Call struct {
+	// AttemptID is unique per attempt; the reply repeats it.
+	AttemptID string
+	// RequestID is the caller's request; all its attempts share it.
+	RequestID string
+	Service   string
+	Class     string
+	Tenant    string
+	// Target is the chosen target. It is empty for keyed operations, where the
+	// owner chooses among its own targets.
+	Target fleet.TargetID
+	// Key is the Idempotency-Key of a keyed operation, empty otherwise.
+	Key string
+	// Epoch is the assignment epoch by which the owner was found.
+	Epoch fleet.Epoch
+	// ReceivedAt is when the ingress received the request, by its wall clock.
+	ReceivedAt time.Time
+	// Timeout is the time left when the call was sent.
+	Timeout time.Duration
+
+	Method string
+	// Path is the path and query as the caller sent them.
+	Path          string
+	Header        http.Header
+	Body          io.Reader
+	ContentLength int64
+}
+
+// Reply is the answer to one Call. The receiver closes Body, which is never
+// nil. A read error other than io.EOF means that the answer was cut short.
+type Reply struct {
+	AttemptID string
+	Outcome   fleet.Outcome
+	// Reason says why the outcome is not Answered, in a few words.
+	Reason string
+	// Sent reports whether the call may have reached the sidecar.
+	Sent bool
+	// PathFailed reports that the connection failed, not the target.
+	PathFailed bool
+	// Misrouted reports that the sidecar does not have the target or does not
+	// own the key; the ingress refreshes its view and tries again.
+	Misrouted bool
+	// RetryAfter is when a refused call may succeed; 0 if not known.
+	RetryAfter time.Duration
+	// Load is the target's load; Slots is 0 if none was reported.
+	Load fleet.Load
+
+	// Status, Header, Body and ContentLength are the target's answer. They are
+	// set if Outcome is Answered.
+	Status        int
+	Header        http.Header
+	Body          io.ReadCloser
+	ContentLength int64
+}
+
+// Forwarder delivers calls. Forward never returns nil; failures are replies
+// with an outcome and a reason.
+type Forwarder interface {
+	Forward(ctx context.Context, call *Call) *Reply
+}
+
+// Refused returns a reply for a call that was provably not dispatched.
+func Refused(call *Call, reason string) *Reply {
+	return &Reply{AttemptID: call.AttemptID, Outcome: fleet.NotRun, Reason: reason, Body: http.NoBody}
+}
+
+// Doubtful returns a reply for a call that may have run.
+func Doubtful(call *Call, reason string) *Reply {
+	return &Reply{AttemptID: call.AttemptID, Outcome: fleet.Unknown, Reason: reason, Sent: true, Body: http.NoBody}
+}
--- /dev/null
+++ b/internal/link/header.go
@@ -0,0 +1,220 @@
+package link
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+)
+
+// Headers between callers and the fleet.
+const (
+	HeaderService        = "Siskinvale-Service"
+	HeaderTenant         = "Siskinvale-Tenant"
+	HeaderTimeout        = "Siskinvale-Timeout"
+	HeaderAttempt        = "Siskinvale-Attempt"
+	HeaderOutcome        = "Siskinvale-Outcome"
+	HeaderRequestID      = "Siskinvale-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderTraceparent    = "Traceparent"
+)
+
+// Headers between nodes. They carry the fields of Call and Reply.
+const (
+	ForwardPath = "/forward"
+
+	prefixInternal     = "Siskinvale-"
+	headerAttemptID    = "Siskinvale-Attempt-Id"
+	headerClass        = "Siskinvale-Class"
+	headerTarget       = "Siskinvale-Target"
+	headerEpoch        = "Siskinvale-Epoch"
+	headerReceivedAt   = "Siskinvale-Received-At"
+	headerTimeLeft     = "Siskinvale-Time-Left"
+	headerMethod       = "Siskinvale-Method"
+	headerPath         = "Siskinvale-Path"
+	headerOperationKey = "Siskinvale-Operation-Key"
+
+	headerReason    = "Siskinvale-Reason"
+	headerMisrouted = "Siskinvale-Misrouted"
+	headerRetry     = "Siskinvale-Retry-After"
+	headerLoad      = "Siskinvale-Load"
+)
+
+// hopByHop are the headers that concern one connection only, by RFC 9110
+// section 7.6.1.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Proxy-Authenticate", "Proxy-Authorization",
+}
+
+// CopyEndToEnd copies the headers from src to dst that belong to the request
+// or answer itself: neither hop-by-hop headers nor the fleet's own.
+func CopyEndToEnd(dst, src http.Header) {
+	dropped := connectionHeaders(src)
+	for name, values := range src {
+		if strings.HasPrefix(name, prefixInternal) || dropped[name] {
+			continue
+		}
+		dst[name] = values
+	}
+}
+
+func connectionHeaders(h http.Header) map[string]bool {
+	dropped := make(map[string]bool, len(hopByHop))
+	for _, name := range hopByHop {
+		dropped[name] = true
+	}
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			dropped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return dropped
+}
+
+// writeHeader puts the call's fields and the caller's headers into h.
+func (c *Call) writeHeader(h http.Header) {
+	CopyEndToEnd(h, c.Header)
+	h.Set(headerAttemptID, c.AttemptID)
+	h.Set(HeaderRequestID, c.RequestID)
+	h.Set(HeaderService, c.Service)
+	h.Set(headerClass, c.Class)
+	h.Set(HeaderTenant, c.Tenant)
+	h.Set(headerMethod, c.Method)
+	h.Set(headerPath, c.Path)
+	h.Set(headerTimeLeft, strconv.FormatInt(c.Timeout.Microseconds(), 10))
+	h.Set(headerReceivedAt, strconv.FormatInt(c.ReceivedAt.UnixMilli(), 10))
+	if c.Target != "" {
+		h.Set(headerTarget, string(c.Target))
+	}
+	if c.Key != "" {
+		h.Set(headerOperationKey, c.Key)
+		h.Set(headerEpoch, strconv.FormatUint(uint64(c.Epoch), 10))
+	}
+}
+
+// readCall is the inverse of writeHeader.
+func readCall(r *http.Request) (*Call, error) {
+	h := r.Header
+	c := &Call{
+		AttemptID:     h.Get(headerAttemptID),
+		RequestID:     h.Get(HeaderRequestID),
+		Service:       h.Get(HeaderService),
+		Class:         h.Get(headerClass),
+		Tenant:        h.Get(HeaderTenant),
+		Target:        fleet.TargetID(h.Get(headerTarget)),
+		Key:           h.Get(headerOperationKey),
+		Method:        h.Get(headerMethod),
+		Path:          h.Get(headerPath),
+		Header:        make(http.Header, len(h)),
+		Body:          r.Body,
+		ContentLength: r.ContentLength,
+	}
+	if c.AttemptID == "" || c.Service == "" || c.Method == "" || !strings.HasPrefix(c.Path, "/") {
+		return nil, fmt.Errorf("forwarded call without attempt, service, method or path")
+	}
+	left, err := strconv.ParseInt(h.Get(headerTimeLeft), 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", headerTimeLeft, err)
+	}
+	c.Timeout = time.Duration(left) * time.Microsecond
+	received, err := strconv.ParseInt(h.Get(headerReceivedAt), 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", headerReceivedAt, err)
+	}
+	c.ReceivedAt = time.UnixMilli(received)
+	if c.Key != "" {
+		epoch, err := strconv.ParseUint(h.Get(headerEpoch), 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", headerEpoch, err)
+		}
+		c.Epoch = fleet.Epoch(epoch)
+	}
+	CopyEndToEnd(c.Header, h)
+	c.Header.Del("Authorization")
+	if v, ok := h[headerCallerAuthorization]; ok {
+		c.Header["Authorization"] = v
+	}
+	return c, nil
+}
+
+// headerCallerAuthorization carries the caller's own Authorization header,
+// because Authorization itself holds the node's token on this hop.
+const headerCallerAuthorization = "Siskinvale-Caller-Authorization"
+
+// writeHeader puts the reply's fields and the target's headers into h.
+func (r *Reply) writeHeader(h http.Header) {
+	if r.Header != nil {
+		CopyEndToEnd(h, r.Header)
+	}
+	h.Set(headerAttemptID, r.AttemptID)
+	h.Set(HeaderOutcome, r.Outcome.String())
+	if r.Reason != "" {
+		h.Set(headerReason, r.Reason)
+	}
+	if r.Misrouted {
+		h.Set(headerMisrouted, "1")
+	}
+	if r.RetryAfter > 0 {
+		h.Set(headerRetry, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+	}
+	if r.Load.Slots > 0 {
+		h.Set(headerLoad, formatLoad(r.Load))
+	}
+}
+
+// readReply is the inverse of writeHeader for an answer that belongs to call.
+func readReply(resp *http.Response) *Reply {
+	h := resp.Header
+	retry, _ := strconv.ParseInt(h.Get(headerRetry), 10, 64)
+	r := &Reply{
+		AttemptID:     h.Get(headerAttemptID),
+		Outcome:       fleet.ParseOutcome(h.Get(HeaderOutcome)),
+		Reason:        h.Get(headerReason),
+		Misrouted:     h.Get(headerMisrouted) != "",
+		RetryAfter:    time.Duration(retry) * time.Millisecond,
+		Load:          parseLoad(h.Get(headerLoad)),
+		Sent:          true,
+		Status:        resp.StatusCode,
+		Header:        make(http.Header, len(h)),
+		Body:          resp.Body,
+		ContentLength: resp.ContentLength,
+	}
+	CopyEndToEnd(r.Header, h)
+	return r
+}
+
+func formatLoad(l fleet.Load) string {
+	b := make([]byte, 0, 32)
+	b = strconv.AppendInt(b, int64(l.InFlight), 10)
+	b = strconv.AppendInt(append(b, ','), int64(l.Queued), 10)
+	b = strconv.AppendInt(append(b, ','), int64(l.Slots), 10)
+	b = strconv.AppendInt(append(b, ','), l.QueuedWork.Microseconds(), 10)
+	return string(b)
+}
+
+// parseLoad returns the zero Load for a malformed value, which callers treat
+// as no report.
+func parseLoad(s string) fleet.Load {
+	var n [4]int64
+	fields := strings.Split(s, ",")
+	if len(fields) != len(n) {
+		return fleet.Load{}
+	}
+	for i, f := range fields {
+		v, err := strconv.ParseInt(f, 10, 64)
+		if err != nil {
+			return fleet.Load{}
+		}
+		n[i] = v
+	}
+	return fleet.Load{
+		InFlight:   int(n[0]),
+		Queued:     int(n[1]),
+		Slots:      int(n[2]),
+		QueuedWork: time.Duration(n[3]) * time.Microsecond,
+	}
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,233 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinvale.dev/siskinvale/internal/auth"
+	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/link"
+)
+
+func TestLink(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "link")
+}
+
+type forwarderFunc func(ctx context.Context, call *link.Call) *link.Reply
+
+func (f forwarderFunc) Forward(ctx context.Context, call *link.Call) *link.Reply { return f(ctx, call) }
+
+func newKeys() *auth.Keys {
+	keys, err := auth.NewKeys(auth.AudiencePeer, []auth.Key{{ID: "k", Secret: auth.Secret(strings.Repeat("s", 32))}})
+	Expect(err).NotTo(HaveOccurred())
+	return keys
+}
+
+func serve(h http.Handler) fleet.Node {
+	server := httptest.NewUnstartedServer(h)
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Config.Protocols.SetHTTP1(true)
+	server.Start()
+	DeferCleanup(server.CloseClientConnections)
+	return fleet.Node{ID: "peer", PeerAddr: server.Listener.Addr().String(), Incarnation: 1}
+}
+
+func newCall() *link.Call {
+	return &link.Call{
+		AttemptID: "a1", RequestID: "r1", Service: "booking", Class: "lookup", Tenant: "t",
+		Target: "b1", ReceivedAt: time.UnixMilli(1_800_000_000_123), Timeout: 2 * time.Second,
+		Method: http.MethodGet, Path: "/kits?id=1", Header: http.Header{"X-Own": {"1"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
+		Body: http.NoBody,
+	}
+}
+
+var _ = Describe("Remote and Handler", func() {
+	var remote *link.Remote
+	noRefusals := func(string, error) { Fail("refused credentials") }
+
+	BeforeEach(func() {
+		remote = &link.Remote{Self: "n1", Pool: link.NewPool(link.DefaultConfig()), Keys: newKeys()}
+		DeferCleanup(remote.Pool.Close)
+	})
+
+	It("carries every field of a call and of its reply", func() {
+		var got *link.Call
+		var body []byte
+		node := serve(link.Handler(newKeys(), forwarderFunc(func(_ context.Context, c *link.Call) *link.Reply {
+			got = c
+			body, _ = io.ReadAll(c.Body)
+			return &link.Reply{
+				AttemptID: c.AttemptID, Outcome: fleet.Answered, Status: http.StatusCreated,
+				Header: http.Header{"X-Answer": {"yes"}}, ContentLength: 4,
+				Body: io.NopCloser(strings.NewReader("done")),
+				Load: fleet.Load{InFlight: 2, Queued: 1, Slots: 4, QueuedWork: 3 * time.Millisecond},
+			}
+		}), noRefusals))
+		call := newCall()
+		call.Key, call.Epoch = "key", 7
+		call.Header.Set("Authorization", "Basic caller")
+		call.Body, call.ContentLength = strings.NewReader("ask"), 3
+		reply := remote.Forward(context.Background(), node, fleet.Short, call)
+		answer, err := io.ReadAll(reply.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer)).To(Equal("done"))
+		Expect(string(body)).To(Equal("ask"))
+		Expect(reply.Status).To(Equal(http.StatusCreated))
+		Expect(reply.Header.Get("X-Answer")).To(Equal("yes"))
+		Expect(reply.Load).To(Equal(fleet.Load{InFlight: 2, Queued: 1, Slots: 4, QueuedWork: 3 * time.Millisecond}))
+		Expect(got.Path).To(Equal("/kits?id=1"))
+		Expect(got.Method).To(Equal(http.MethodGet))
+		Expect(got.Epoch).To(Equal(fleet.Epoch(7)))
+		Expect(got.Key).To(Equal("key"))
+		Expect(got.ReceivedAt).To(BeTemporally("==", call.ReceivedAt))
+		Expect(got.Header.Get("Authorization")).To(Equal("Basic caller"))
+		Expect(got.Header).NotTo(HaveKey("X-Hop"))
+		Expect(got.Header.Get("X-Own")).To(Equal("1"))
+	})
+
+	// Guards against an answer cut short that is passed on as complete.
+	It("reports a truncated answer as a read error", func() {
+		node := serve(link.Handler(newKeys(), forwarderFunc(func(_ context.Context, c *link.Call) *link.Reply {
+			body := io.MultiReader(strings.NewReader("half"), errReader{})
+			return &link.Reply{AttemptID: c.AttemptID, Outcome: fleet.Answered, Status: 200, ContentLength: -1, Body: io.NopCloser(body)}
+		}), noRefusals))
+		reply := remote.Forward(context.Background(), node, fleet.Short, newCall())
+		_, err := io.ReadAll(reply.Body)
+		Expect(err).To(HaveOccurred())
+	})
+
+	// Guards against another attempt's answer reaching this caller.
+	It("drops and counts an answer of another attempt", func() {
+		node := serve(link.Handler(newKeys(), forwarderFunc(func(_ context.Context, c *link.Call) *link.Reply {
+			return &link.Reply{AttemptID: "other", Outcome: fleet.Answered, Status: 200, Body: http.NoBody}
+		}), noRefusals))
+		reply := remote.Forward(context.Background(), node, fleet.Short, newCall())
+		Expect(reply.Outcome).To(Equal(fleet.Unknown))
+		Expect(remote.Mismatched.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("proves not-run when no connection could be made, and claims nothing else", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		addr := listener.Addr().String()
+		listener.Close()
+		reply := remote.Forward(context.Background(), fleet.Node{ID: "gone", PeerAddr: addr}, fleet.Short, newCall())
+		Expect(reply.Outcome).To(Equal(fleet.NotRun))
+		Expect(reply.PathFailed).To(BeTrue())
+	})
+
+	// Guards against untrue not-run after the call reached the sidecar.
+	It("reports unknown when the deadline passes after sending", func() {
+		node := serve(link.Handler(newKeys(), forwarderFunc(func(ctx context.Context, c *link.Call) *link.Reply {
+			<-ctx.Done()
+			return link.Doubtful(c, "late")
+		}), noRefusals))
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		reply := remote.Forward(ctx, node, fleet.Short, newCall())
+		Expect(reply.Outcome).To(Equal(fleet.Unknown))
+	})
+
+	It("refuses a call that is signed with another key", func() {
+		var refused atomic.Int32
+		node := serve(link.Handler(newKeys(), forwarderFunc(func(context.Context, *link.Call) *link.Reply {
+			panic("not reached")
+		}), func(string, error) { refused.Add(1) }))
+		other, err := auth.NewKeys(auth.AudiencePeer, []auth.Key{{ID: "k", Secret: auth.Secret(strings.Repeat("x", 32))}})
+		Expect(err).NotTo(HaveOccurred())
+		remote.Keys = other
+		reply := remote.Forward(context.Background(), node, fleet.Short, newCall())
+		Expect(reply.Outcome).To(Equal(fleet.NotRun))
+		Expect(refused.Load()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against calls that hang on a connection whose other end lost it:
+	// the pings must close it well before the deadline, and a new connection
+	// must work.
+	It("finds a silent connection within its stated second", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() { _, _ = io.Copy(io.Discard, conn) }()
+			}
+		}()
+		start := time.Now()
+		reply := remote.Forward(context.Background(), fleet.Node{ID: "silent", PeerAddr: listener.Addr().String()}, fleet.Short, newCall())
+		Expect(reply.Outcome).To(Equal(fleet.Unknown))
+		Expect(reply.PathFailed).To(BeTrue())
+		Expect(time.Since(start)).To(BeNumerically("<", 1500*time.Millisecond))
+	})
+
+	// Guards against net/http sending a keyed request twice by itself, which
+	// it does for any request with an Idempotency-Key header and no body.
+	It("keeps net/http from replaying a request with an Idempotency-Key", func() {
+		var received atomic.Int32
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			for n := 0; ; n++ {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go serveThenBreak(conn, &received)
+			}
+		}()
+		client := &http.Client{Transport: &http.Transport{}}
+		for range 2 {
+			req, err := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String()+"/holds", http.NoBody)
+			Expect(err).NotTo(HaveOccurred())
+			req.Header.Set("Idempotency-Key", "k")
+			link.PreventReplay(req)
+			if resp, err := client.Do(req); err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		}
+		Consistently(received.Load, 200*time.Millisecond).Should(BeEquivalentTo(2))
+	})
+})
+
+// serveThenBreak answers the first request on conn and closes the connection
+// when the second has arrived.
+func serveThenBreak(conn net.Conn, received *atomic.Int32) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for first := true; ; first = false {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		received.Add(1)
+		if !first {
+			return
+		}
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	}
+}
+
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, errors.New("cut") }
--- /dev/null
+++ b/internal/link/remote.go
@@ -0,0 +1,97 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"siskinvale.dev/siskinvale/internal/auth"
+	"siskinvale.dev/siskinvale/internal/fleet"
+)
+
+// Remote forwards calls to other nodes over the pool's connections.
+type Remote struct {
+	Self fleet.NodeID
+	Pool *Pool
+	Keys *auth.Keys
+	// Mismatched counts answers that were dropped because they belonged to
+	// another attempt.
+	Mismatched atomic.Uint64
+}
+
+// Forward sends call to node. Without proof that nothing was sent, a failure
+// is Unknown.
+func (r *Remote) Forward(ctx context.Context, node fleet.Node, length fleet.Length, call *Call) *Reply {
+	var sent SentTrace
+	req, err := r.request(sent.Context(ctx), node, call)
+	if err != nil {
+		return Refused(call, err.Error())
+	}
+	resp, err := r.Pool.Client(node, length).Do(req)
+	if err != nil {
+		return failed(ctx, call, sent.Sent())
+	}
+	if rejected(resp) {
+		resp.Body.Close()
+		reply := Refused(call, "the node beside the target rejected the forwarded call: "+resp.Status)
+		reply.PathFailed = true
+		return reply
+	}
+	reply := readReply(resp)
+	if reply.AttemptID != call.AttemptID {
+		resp.Body.Close()
+		r.Mismatched.Add(1)
+		doubt := Doubtful(call, "the answer belonged to another attempt")
+		doubt.PathFailed = true
+		return doubt
+	}
+	if reply.Outcome != fleet.Answered {
+		resp.Body.Close()
+		reply.Body = http.NoBody
+	}
+	return reply
+}
+
+func (r *Remote) request(ctx context.Context, node fleet.Node, call *Call) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.PeerAddr+ForwardPath, call.Body)
+	if err != nil {
+		return nil, fmt.Errorf("build forwarded call: %w", err)
+	}
+	req.ContentLength = call.ContentLength
+	PreventReplay(req)
+	call.writeHeader(req.Header)
+	if v, ok := call.Header["Authorization"]; ok {
+		req.Header[headerCallerAuthorization] = v
+	}
+	if err := r.Keys.Sign(req.Header, string(r.Self), time.Now()); err != nil {
+		return nil, err
+	}
+	return req, nil
+}
+
+// rejected reports whether the peer's handler refused the call before it
+// looked at the target, for example because the fleet keys differ.
+func rejected(resp *http.Response) bool {
+	return resp.Header.Get(headerAttemptID) == "" &&
+		(resp.StatusCode == http.StatusUnauthorized || resp.StatusCode == http.StatusBadRequest)
+}
+
+func failed(ctx context.Context, call *Call, sent bool) *Reply {
+	if !sent {
+		reply := Refused(call, "the node beside the target could not be reached")
+		reply.PathFailed = ctx.Err() == nil
+		return reply
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return Doubtful(call, "no answer before the deadline")
+	}
+	if ctx.Err() != nil {
+		return Doubtful(call, "the call was cancelled")
+	}
+	reply := Doubtful(call, "the connection to the node beside the target failed")
+	reply.PathFailed = true
+	return reply
+}
