--- /dev/null
+++ b/cmd/siskinvale-node/main.go
@@ -0,0 +1,94 @@
+// Command siskinvale-node runs the node process of one target VM.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+
+	"siskinvale.dev/siskinvale/internal/config"
+	"siskinvale.dev/siskinvale/internal/node"
+	"siskinvale.dev/siskinvale/internal/version"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitSettings = 1 // the settings have problems
+	exitUsage    = 2
+	exitFailed   = 3 // the node could not start or run
+)
+
+type options struct {
+	Config  string `long:"config" value-name:"FILE" description:"settings file (YAML)"`
+	Check   bool   `long:"check" description:"check the settings and exit"`
+	Version bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var opts options
+	if _, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
+		var flagErr *flags.Error
+		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+			fmt.Println(err)
+			return exitOK
+		}
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if opts.Version {
+		fmt.Println("siskinvale-node", version.String())
+		return exitOK
+	}
+	if opts.Config == "" {
+		fmt.Fprintln(os.Stderr, "the flag --config is needed")
+		return exitUsage
+	}
+	settings, findings, err := config.Load(opts.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	for _, f := range findings {
+		fmt.Fprintln(os.Stderr, f)
+	}
+	if len(findings) > 0 {
+		return exitSettings
+	}
+	if opts.Check {
+		return exitOK
+	}
+	return serve(opts.Config, settings)
+}
+
+func serve(path string, settings *config.Settings) int {
+	logger := logrus.New()
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	n, err := node.New(settings, logger)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	go func() {
+		for range hangup {
+			n.Reload(path)
+		}
+	}()
+	if err := n.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
--- a/internal/control/v1/controlv1connect/control.connect.go
+++ b/internal/control/v1/controlv1connect/control.connect.go
@@ -47,6 +47,9 @@
 	PeerServiceRenewLeaseProcedure = "/siskinvale.control.v1.PeerService/RenewLease"
 	// PeerServiceHandOverProcedure is the fully-qualified name of the PeerService's HandOver RPC.
 	PeerServiceHandOverProcedure = "/siskinvale.control.v1.PeerService/HandOver"
+	// PeerServiceFetchAssignmentsProcedure is the fully-qualified name of the PeerService's
+	// FetchAssignments RPC.
+	PeerServiceFetchAssignmentsProcedure = "/siskinvale.control.v1.PeerService/FetchAssignments"
 	// OperatorServiceStatusProcedure is the fully-qualified name of the OperatorService's Status RPC.
 	OperatorServiceStatusProcedure = "/siskinvale.control.v1.OperatorService/Status"
 	// OperatorServiceListTargetsProcedure is the fully-qualified name of the OperatorService's
@@ -61,6 +64,9 @@
 	// OperatorServiceSetLogLevelProcedure is the fully-qualified name of the OperatorService's
 	// SetLogLevel RPC.
 	OperatorServiceSetLogLevelProcedure = "/siskinvale.control.v1.OperatorService/SetLogLevel"
+	// OperatorServiceReleaseOperationsProcedure is the fully-qualified name of the OperatorService's
+	// ReleaseOperations RPC.
+	OperatorServiceReleaseOperationsProcedure = "/siskinvale.control.v1.OperatorService/ReleaseOperations"
 )
 
 // PeerServiceClient is a client for the siskinvale.control.v1.PeerService service.
@@ -75,6 +81,9 @@
 	RenewLease(context.Context, *v1.RenewLeaseRequest) (*v1.RenewLeaseResponse, error)
 	// HandOver moves the operation records of some ranges to their standby.
 	HandOver(context.Context, *v1.HandOverRequest) (*v1.HandOverResponse, error)
+	// FetchAssignments returns the ownership assignments that the node knows in
+	// a newer version than the caller.
+	FetchAssignments(context.Context, *v1.FetchAssignmentsRequest) (*v1.FetchAssignmentsResponse, error)
 }
 
 // NewPeerServiceClient constructs a client for the siskinvale.control.v1.PeerService service. By
@@ -118,16 +127,23 @@
 			connect.WithSchema(peerServiceMethods.ByName("HandOver")),
 			connect.WithClientOptions(opts...),
 		),
+		fetchAssignments: connect.NewClient[v1.FetchAssignmentsRequest, v1.FetchAssignmentsResponse](
+			httpClient,
+			baseURL+PeerServiceFetchAssignmentsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("FetchAssignments")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	sync          *connect.Client[v1.SyncRequest, v1.SyncResponse]
-	fetchEnvelope *connect.Client[v1.FetchEnvelopeRequest, v1.FetchEnvelopeResponse]
-	fetchPieces   *connect.Client[v1.FetchPiecesRequest, v1.FetchPiecesResponse]
-	renewLease    *connect.Client[v1.RenewLeaseRequest, v1.RenewLeaseResponse]
-	handOver      *connect.Client[v1.HandOverRequest, v1.HandOverResponse]
+	sync             *connect.Client[v1.SyncRequest, v1.SyncResponse]
+	fetchEnvelope    *connect.Client[v1.FetchEnvelopeRequest, v1.FetchEnvelopeResponse]
+	fetchPieces      *connect.Client[v1.FetchPiecesRequest, v1.FetchPiecesResponse]
+	renewLease       *connect.Client[v1.RenewLeaseRequest, v1.RenewLeaseResponse]
+	handOver         *connect.Client[v1.HandOverRequest, v1.HandOverResponse]
+	fetchAssignments *connect.Client[v1.FetchAssignmentsRequest, v1.FetchAssignmentsResponse]
 }
 
 // Sync calls siskinvale.control.v1.PeerService.Sync.
@@ -175,6 +191,15 @@
 	return nil, err
 }
 
+// FetchAssignments calls siskinvale.control.v1.PeerService.FetchAssignments.
+func (c *peerServiceClient) FetchAssignments(ctx context.Context, req *v1.FetchAssignmentsRequest) (*v1.FetchAssignmentsResponse, error) {
+	response, err := c.fetchAssignments.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // PeerServiceHandler is an implementation of the siskinvale.control.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Sync exchanges the full membership and target state.
@@ -187,6 +212,9 @@
 	RenewLease(context.Context, *v1.RenewLeaseRequest) (*v1.RenewLeaseResponse, error)
 	// HandOver moves the operation records of some ranges to their standby.
 	HandOver(context.Context, *v1.HandOverRequest) (*v1.HandOverResponse, error)
+	// FetchAssignments returns the ownership assignments that the node knows in
+	// a newer version than the caller.
+	FetchAssignments(context.Context, *v1.FetchAssignmentsRequest) (*v1.FetchAssignmentsResponse, error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -226,6 +254,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("HandOver")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceFetchAssignmentsHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceFetchAssignmentsProcedure,
+		svc.FetchAssignments,
+		connect.WithSchema(peerServiceMethods.ByName("FetchAssignments")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/siskinvale.control.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceSyncProcedure:
@@ -238,6 +272,8 @@
 			peerServiceRenewLeaseHandler.ServeHTTP(w, r)
 		case PeerServiceHandOverProcedure:
 			peerServiceHandOverHandler.ServeHTTP(w, r)
+		case PeerServiceFetchAssignmentsProcedure:
+			peerServiceFetchAssignmentsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -267,6 +303,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("siskinvale.control.v1.PeerService.HandOver is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) FetchAssignments(context.Context, *v1.FetchAssignmentsRequest) (*v1.FetchAssignmentsResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("siskinvale.control.v1.PeerService.FetchAssignments is not implemented"))
+}
+
 // OperatorServiceClient is a client for the siskinvale.control.v1.OperatorService service.
 type OperatorServiceClient interface {
 	Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error)
@@ -275,6 +315,9 @@
 	Undrain(context.Context, *v1.UndrainRequest) (*v1.UndrainResponse, error)
 	Explain(context.Context, *v1.ExplainRequest) (*v1.ExplainResponse, error)
 	SetLogLevel(context.Context, *v1.SetLogLevelRequest) (*v1.SetLogLevelResponse, error)
+	// ReleaseOperations gives up the key ranges of a service whose owner and
+	// standby are both lost, so that they can be owned again.
+	ReleaseOperations(context.Context, *v1.ReleaseOperationsRequest) (*v1.ReleaseOperationsResponse, error)
 }
 
 // NewOperatorServiceClient constructs a client for the siskinvale.control.v1.OperatorService
@@ -324,17 +367,24 @@
 			connect.WithSchema(operatorServiceMethods.ByName("SetLogLevel")),
 			connect.WithClientOptions(opts...),
 		),
+		releaseOperations: connect.NewClient[v1.ReleaseOperationsRequest, v1.ReleaseOperationsResponse](
+			httpClient,
+			baseURL+OperatorServiceReleaseOperationsProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("ReleaseOperations")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // operatorServiceClient implements OperatorServiceClient.
 type operatorServiceClient struct {
-	status      *connect.Client[v1.StatusRequest, v1.StatusResponse]
-	listTargets *connect.Client[v1.ListTargetsRequest, v1.ListTargetsResponse]
-	drain       *connect.Client[v1.DrainRequest, v1.DrainResponse]
-	undrain     *connect.Client[v1.UndrainRequest, v1.UndrainResponse]
-	explain     *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
-	setLogLevel *connect.Client[v1.SetLogLevelRequest, v1.SetLogLevelResponse]
+	status            *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	listTargets       *connect.Client[v1.ListTargetsRequest, v1.ListTargetsResponse]
+	drain             *connect.Client[v1.DrainRequest, v1.DrainResponse]
+	undrain           *connect.Client[v1.UndrainRequest, v1.UndrainResponse]
+	explain           *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
+	setLogLevel       *connect.Client[v1.SetLogLevelRequest, v1.SetLogLevelResponse]
+	releaseOperations *connect.Client[v1.ReleaseOperationsRequest, v1.ReleaseOperationsResponse]
 }
 
 // Status calls siskinvale.control.v1.OperatorService.Status.
@@ -391,6 +441,15 @@
 	return nil, err
 }
 
+// ReleaseOperations calls siskinvale.control.v1.OperatorService.ReleaseOperations.
+func (c *operatorServiceClient) ReleaseOperations(ctx context.Context, req *v1.ReleaseOperationsRequest) (*v1.ReleaseOperationsResponse, error) {
+	response, err := c.releaseOperations.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // OperatorServiceHandler is an implementation of the siskinvale.control.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	Status(context.Context, *v1.StatusRequest) (*v1.StatusResponse, error)
@@ -399,6 +458,9 @@
 	Undrain(context.Context, *v1.UndrainRequest) (*v1.UndrainResponse, error)
 	Explain(context.Context, *v1.ExplainRequest) (*v1.ExplainResponse, error)
 	SetLogLevel(context.Context, *v1.SetLogLevelRequest) (*v1.SetLogLevelResponse, error)
+	// ReleaseOperations gives up the key ranges of a service whose owner and
+	// standby are both lost, so that they can be owned again.
+	ReleaseOperations(context.Context, *v1.ReleaseOperationsRequest) (*v1.ReleaseOperationsResponse, error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -444,6 +506,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("SetLogLevel")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceReleaseOperationsHandler := connect.NewUnaryHandlerSimple(
+		OperatorServiceReleaseOperationsProcedure,
+		svc.ReleaseOperations,
+		connect.WithSchema(operatorServiceMethods.ByName("ReleaseOperations")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/siskinvale.control.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceStatusProcedure:
@@ -458,6 +526,8 @@
 			operatorServiceExplainHandler.ServeHTTP(w, r)
 		case OperatorServiceSetLogLevelProcedure:
 			operatorServiceSetLogLevelHandler.ServeHTTP(w, r)
+		case OperatorServiceReleaseOperationsProcedure:
+			operatorServiceReleaseOperationsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -490,3 +560,7 @@
 func (UnimplementedOperatorServiceHandler) SetLogLevel(context.Context, *v1.SetLogLevelRequest) (*v1.SetLogLevelResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("siskinvale.control.v1.OperatorService.SetLogLevel is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) ReleaseOperations(context.Context, *v1.ReleaseOperationsRequest) (*v1.ReleaseOperationsResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("siskinvale.control.v1.OperatorService.ReleaseOperations is not implemented"))
+}
--- /dev/null
+++ b/internal/ingress/attempt.go
@@ -0,0 +1,171 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/link"
+	"siskinvale.dev/siskinvale/internal/retry"
+	"siskinvale.dev/siskinvale/internal/routing"
+)
+
+const (
+	// ownerWait is the pause before a keyed operation looks for its owner
+	// again. A takeover takes a few seconds, so a short pause costs little.
+	ownerWait = 50 * time.Millisecond
+	// ownerAttempts bounds how often a keyed operation looks for its owner
+	// within its deadline. These attempts were provably not dispatched.
+	ownerAttempts = 100
+	// prefetchSize is the largest answer that is read to its end before the
+	// first byte is sent, so that a truncated one can be retried.
+	prefetchSize = 64 << 10
+)
+
+// attempts sends the request until it is answered or may not be sent again.
+// The last reply tells what is known of the request as a whole.
+func (in *Ingress) attempts(ctx context.Context, req *request) *link.Reply {
+	if req.keyed() {
+		return in.keyedAttempts(ctx, req)
+	}
+	budget := in.budgets.of(req.service, req.class.Name)
+	budget.Deposit(in.cfg.Clock())
+	var tried []fleet.TargetID
+	doubt := false
+	for n := 1; ; n++ {
+		reply := in.attempt(ctx, req, &tried)
+		if reply.Outcome == fleet.Answered {
+			return reply
+		}
+		doubt = doubt || reply.Outcome == fleet.Unknown
+		decision := retry.Decide(retry.Attempt{
+			Number: n, Max: req.class.Attempts, Idempotent: req.class.Idempotent, Streamed: req.stream != nil,
+			Outcome: reply.Outcome, Remaining: time.Until(req.deadline),
+		}, budget, in.cfg.Clock())
+		if !decision.Retry || ctx.Err() != nil {
+			if doubt {
+				reply.Outcome = fleet.Unknown
+			}
+			return reply
+		}
+		in.cfg.Metrics.Counter("siskinvale_retries_total").Inc()
+	}
+}
+
+// attempt chooses a target and sends the request to it once.
+func (in *Ingress) attempt(ctx context.Context, req *request, tried *[]fleet.TargetID) *link.Reply {
+	now := in.cfg.Clock()
+	view := in.view.Load()
+	call := req.call(now)
+	picker, ok := view.Pickers[req.service]
+	if !ok {
+		return link.Refused(call, "the service has no targets")
+	}
+	choice, ok := picker.Pick(routing.Request{Idempotent: req.class.Idempotent, Exclude: *tried}, random(), now)
+	if !ok {
+		return link.Refused(call, "no target of the service may receive the request")
+	}
+	endpoint := choice.Target
+	target := endpoint.Target()
+	*tried = append(*tried, target.ID)
+	call.Target = target.ID
+	endpoint.Begin()
+	reply := prefetch(call, in.deliver(ctx, view, target.Node, req.class.Length, call))
+	in.paths.record(target.ID, reply)
+	if reply.Outcome != fleet.Answered {
+		endpoint.End(reply.Load, !reply.PathFailed, in.cfg.Clock())
+		return reply
+	}
+	reply.Body = &closeHook{ReadCloser: reply.Body, hook: func() { endpoint.End(reply.Load, true, in.cfg.Clock()) }}
+	return reply
+}
+
+// keyedAttempts sends a keyed operation to the owner of its key. It looks for
+// the owner again while every attempt is proven undispatched.
+func (in *Ingress) keyedAttempts(ctx context.Context, req *request) *link.Reply {
+	var reply *link.Reply
+	for range ownerAttempts {
+		reply = in.keyedAttempt(ctx, req)
+		if reply.Outcome != fleet.NotRun || reply.FromOwner {
+			return reply
+		}
+		if !sleep(ctx, ownerWait) {
+			break
+		}
+	}
+	reply.Outcome = req.outcomeOfRefusal()
+	return reply
+}
+
+func (in *Ingress) keyedAttempt(ctx context.Context, req *request) *link.Reply {
+	view := in.view.Load()
+	call := req.call(in.cfg.Clock())
+	call.Key = req.key
+	owner, epoch, ok := in.cfg.Owners.Locate(req.service, req.tenant, req.key)
+	if !ok {
+		in.cfg.Owners.Refresh(req.service, 0)
+		return link.Refused(call, "the key's range has no owner")
+	}
+	call.Epoch = epoch
+	reply := prefetch(call, in.deliver(ctx, view, owner, req.class.Length, call))
+	if reply.Misrouted {
+		in.cfg.Owners.Refresh(req.service, epoch)
+	}
+	return reply
+}
+
+// deliver hands the call to the sidecar of node, which may be this node's own.
+func (in *Ingress) deliver(ctx context.Context, view *View, node fleet.NodeID, length fleet.Length, call *link.Call) *link.Reply {
+	if node == in.cfg.Self {
+		return in.cfg.Local.Forward(ctx, call)
+	}
+	peer, ok := view.Nodes[node]
+	if !ok || peer.State == fleet.NodeDead {
+		return link.Refused(call, "the node beside the target is out of use")
+	}
+	return in.cfg.Remote.Forward(ctx, peer, length, call)
+}
+
+// prefetch reads a small answer to its end. A truncated one becomes a reply
+// with an unknown outcome, because nothing was sent to the caller yet.
+func prefetch(call *link.Call, reply *link.Reply) *link.Reply {
+	if reply.Outcome != fleet.Answered || reply.ContentLength < 0 || reply.ContentLength > prefetchSize {
+		return reply
+	}
+	body, err := io.ReadAll(reply.Body)
+	reply.Body.Close()
+	if err != nil {
+		doubt := link.Doubtful(call, "the answer was cut short")
+		doubt.Load = reply.Load
+		return doubt
+	}
+	reply.Body = io.NopCloser(bytes.NewReader(body))
+	return reply
+}
+
+// closeHook calls hook once when the body is closed.
+type closeHook struct {
+	io.ReadCloser
+	once sync.Once
+	hook func()
+}
+
+func (c *closeHook) Close() error {
+	defer c.once.Do(c.hook)
+	return c.ReadCloser.Close()
+}
+
+// sleep waits for d and reports whether ctx is still valid.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/ingress/path.go
@@ -0,0 +1,55 @@
+package ingress
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/health"
+	"siskinvale.dev/siskinvale/internal/link"
+)
+
+// pathEvidence counts, for each target, the attempts that were answered and
+// those whose path failed. Only this node's own health monitor uses it.
+type pathEvidence struct {
+	targets sync.Map // fleet.TargetID -> *pathCounts
+}
+
+type pathCounts struct {
+	answered, failed atomic.Uint32
+}
+
+func newPathEvidence() *pathEvidence { return &pathEvidence{} }
+
+func (p *pathEvidence) record(id fleet.TargetID, reply *link.Reply) {
+	value, ok := p.targets.Load(id)
+	if !ok {
+		value, _ = p.targets.LoadOrStore(id, &pathCounts{})
+	}
+	counts := value.(*pathCounts)
+	switch {
+	case reply.PathFailed:
+		counts.failed.Add(1)
+	case reply.Load.Slots > 0:
+		counts.answered.Add(1)
+	}
+}
+
+// take returns the counts since the last call. Targets without any are
+// forgotten.
+func (p *pathEvidence) take(self fleet.NodeID) []health.Sample {
+	var samples []health.Sample
+	p.targets.Range(func(key, value any) bool {
+		counts := value.(*pathCounts)
+		answered, failed := counts.answered.Swap(0), counts.failed.Swap(0)
+		if answered+failed == 0 {
+			p.targets.Delete(key)
+			return true
+		}
+		samples = append(samples, health.Sample{
+			Target: key.(fleet.TargetID), Source: self, Completed: answered, PathFailures: failed,
+		})
+		return true
+	})
+	return samples
+}
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -52,6 +52,9 @@
 	// Misrouted reports that the sidecar does not have the target or does not
 	// own the key; the ingress refreshes its view and tries again.
 	Misrouted bool
+	// FromOwner reports that the owner of a keyed operation decided the
+	// outcome. Its NotRun covers earlier and delayed requests with the same key.
+	FromOwner bool
 	// RetryAfter is when a refused call may succeed; 0 if not known.
 	RetryAfter time.Duration
 	// Load is the target's load; Slots is 0 if none was reported.
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -39,6 +39,7 @@
 
 	headerReason    = "Siskinvale-Reason"
 	headerMisrouted = "Siskinvale-Misrouted"
+	headerFromOwner = "Siskinvale-From-Owner"
 	headerRetry     = "Siskinvale-Retry-After"
 	headerLoad      = "Siskinvale-Load"
 )
@@ -158,6 +159,9 @@
 	if r.Misrouted {
 		h.Set(headerMisrouted, "1")
 	}
+	if r.FromOwner {
+		h.Set(headerFromOwner, "1")
+	}
 	if r.RetryAfter > 0 {
 		h.Set(headerRetry, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
 	}
@@ -175,6 +179,7 @@
 		Outcome:       fleet.ParseOutcome(h.Get(HeaderOutcome)),
 		Reason:        h.Get(headerReason),
 		Misrouted:     h.Get(headerMisrouted) != "",
+		FromOwner:     h.Get(headerFromOwner) != "",
 		RetryAfter:    time.Duration(retry) * time.Millisecond,
 		Load:          parseLoad(h.Get(headerLoad)),
 		Sent:          true,
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,182 @@
+// Package node assembles the parts of one node process and runs its lifecycle:
+// start, reload, graceful stop.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"siskinvale.dev/siskinvale/internal/auth"
+	"siskinvale.dev/siskinvale/internal/config"
+	"siskinvale.dev/siskinvale/internal/event"
+	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/ingress"
+	"siskinvale.dev/siskinvale/internal/link"
+	"siskinvale.dev/siskinvale/internal/membership"
+	"siskinvale.dev/siskinvale/internal/metric"
+	"siskinvale.dev/siskinvale/internal/operation"
+	"siskinvale.dev/siskinvale/internal/platform"
+	"siskinvale.dev/siskinvale/internal/sidecar"
+)
+
+// Node is one node process.
+type Node struct {
+	self     fleet.Node
+	settings atomic.Pointer[config.Settings]
+	log      *event.Logger
+	metrics  *metric.Set
+
+	peerKeys     *auth.Keys
+	operatorKeys *auth.Keys
+	verifier     *verifier
+	platform     platform.Client
+	pool         *link.Pool
+	remote       *link.Remote
+	peers        *peerCalls
+	sidecar      *sidecar.Sidecar
+	ingress      *ingress.Ingress
+	operations   *operation.Manager
+	assignments  *assignments
+	control      *control
+	leaving      atomic.Bool
+}
+
+// New assembles a node from checked settings. Nothing is started and no
+// address is opened.
+func New(s *config.Settings, logger *logrus.Logger) (*Node, error) {
+	level, err := logrus.ParseLevel(s.Log.Level)
+	if err != nil {
+		return nil, err
+	}
+	logger.SetLevel(level)
+	n := &Node{
+		self: fleet.Node{
+			ID: s.Node.ID, Region: s.Node.Region, DataCentre: s.Node.DataCentre,
+			PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers, OperatorAddr: s.Listen.Operators,
+			Incarnation: uint64(time.Now().UnixNano()),
+		},
+		log:     event.NewLogger(logger, event.Fields{"node": s.Node.ID, "dataCentre": s.Node.DataCentre}),
+		metrics: metric.NewSet(),
+		pool:    link.NewPool(link.DefaultConfig()),
+	}
+	n.settings.Store(s)
+	if n.peerKeys, err = auth.NewKeys(auth.AudiencePeer, config.AuthKeys(s.Keys.Fleet)); err != nil {
+		return nil, fmt.Errorf("fleet keys: %w", err)
+	}
+	if n.operatorKeys, err = auth.NewKeys(auth.AudienceOperator, config.AuthKeys(s.Keys.Operators)); err != nil {
+		return nil, fmt.Errorf("operator keys: %w", err)
+	}
+	if n.verifier, err = newVerifier(s.Trust); err != nil {
+		return nil, err
+	}
+	n.platform = platform.NewHTTP(s.Platform.Address, string(s.Platform.Token), platform.DefaultBudget())
+	n.remote = &link.Remote{Self: n.self.ID, Pool: n.pool, Keys: n.peerKeys}
+	n.peers = &peerCalls{node: n}
+	n.operations = operation.NewManager(n.self.ID, n.self.Incarnation, operation.DefaultConfig(),
+		platformObjects{n.platform}, n.peers, operation.NewClock(), n.log)
+	n.assignments = newAssignments(n)
+	n.sidecar = sidecar.New(n.self.ID, keyedOperations{n.operations}, time.Now)
+	n.ingress = ingress.New(ingress.Config{
+		Self: n.self.ID, Local: n.sidecar, Remote: n.remote, Owners: n.assignments,
+		Log: n.log, Metrics: n.metrics, Clock: time.Now, InFlight: s.Limits.InFlight,
+	})
+	n.control = newControl(n)
+	n.registerGauges()
+	return n, nil
+}
+
+// Run serves until ctx ends and then stops gracefully. The error tells why the
+// node could not start or had to stop.
+func (n *Node) Run(ctx context.Context) error {
+	transport, err := membership.Listen(n.self.PeerAddr, n.peerKeys, n.control.deliver)
+	if err != nil {
+		return err
+	}
+	defer transport.Close()
+	n.control.transport = transport
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	// Work outlives ctx: a graceful stop still needs leases and membership.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupCtx := errgroup.WithContext(background)
+	for _, s := range servers {
+		group.Go(s.serve)
+	}
+	group.Go(func() error { n.control.run(groupCtx); return nil })
+	group.Go(func() error { n.operations.Run(groupCtx); return nil })
+	n.log.Log(event.NodeStarted, event.Fields{"callers": n.self.CallerAddr, "peers": n.self.PeerAddr})
+
+	select {
+	case <-ctx.Done():
+		n.drain()
+	case <-groupCtx.Done():
+	}
+	servers.shutdown()
+	stop()
+	err = group.Wait()
+	n.pool.Close()
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	n.log.Log(event.NodeStopped, nil)
+	return nil
+}
+
+// Ready reports whether callers should use this node.
+func (n *Node) Ready() bool { return !n.leaving.Load() && n.control.ready.Load() }
+
+// Reload reads the settings file again. Settings with findings are refused as
+// a whole and the old ones stay in force.
+func (n *Node) Reload(path string) {
+	s, findings, err := config.Load(path)
+	if err == nil && len(findings) > 0 {
+		err = fmt.Errorf("%d findings, first: %s", len(findings), findings[0])
+	}
+	if err == nil {
+		err = n.apply(s)
+	}
+	if err != nil {
+		n.log.Log(event.SettingsRefused, event.Fields{"error": err.Error()})
+		return
+	}
+	n.settings.Store(s)
+	n.log.Log(event.SettingsRead, nil)
+}
+
+// apply changes what may change while the node runs: keys, trust and the log
+// level.
+func (n *Node) apply(s *config.Settings) error {
+	level, err := logrus.ParseLevel(s.Log.Level)
+	if err != nil {
+		return err
+	}
+	if err := n.verifier.replace(s.Trust); err != nil {
+		return err
+	}
+	if err := n.peerKeys.Replace(config.AuthKeys(s.Keys.Fleet)); err != nil {
+		return err
+	}
+	if err := n.operatorKeys.Replace(config.AuthKeys(s.Keys.Operators)); err != nil {
+		return err
+	}
+	n.log.SetLevel(level)
+	return nil
+}
+
+func (n *Node) registerGauges() {
+	n.metrics.Gauge("siskinvale_ingress_in_flight", func() float64 { return float64(n.ingress.InFlight()) })
+	n.metrics.Gauge("siskinvale_sidecar_in_flight", func() float64 { return float64(n.sidecar.InFlight()) })
+	n.metrics.Gauge("siskinvale_bundle_version", func() float64 { return float64(n.control.version.Load()) })
+	n.metrics.Gauge("siskinvale_answers_mismatched", func() float64 { return float64(n.remote.Mismatched.Load()) })
+	n.metrics.Gauge("siskinvale_control_lag_seconds", func() float64 { return n.control.lag().Seconds() })
+}
--- /dev/null
+++ b/internal/node/rollout.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"siskinvale.dev/siskinvale/internal/bundle"
+	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
+	"siskinvale.dev/siskinvale/internal/event"
+	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/membership"
+	"siskinvale.dev/siskinvale/internal/platform"
+	"siskinvale.dev/siskinvale/internal/rollout"
+)
+
+const (
+	// peerFetchTimeout bounds one fetch of an envelope or of pieces.
+	peerFetchTimeout = time.Second
+	// platformReadTimeout bounds a read; the platform answers in milliseconds
+	// when it is well.
+	platformReadTimeout = 3 * time.Second
+	// watchTimeout exceeds the longest wait of a watch.
+	watchTimeout = platform.WatchWait + 5*time.Second
+)
+
+func (c *control) rolloutAction(action rollout.Action) {
+	switch a := action.(type) {
+	case rollout.Activate:
+		c.activate(a)
+	case rollout.ReadPlatform:
+		c.fetch(platformReadTimeout, func(ctx context.Context) rollout.Event {
+			return rollout.Read(ctx, c.node.platform)
+		})
+	case rollout.WatchPlatform:
+		c.fetch(watchTimeout, func(ctx context.Context) rollout.Event {
+			return rollout.Watch(ctx, c.node.platform, a)
+		})
+	case rollout.FetchEnvelope:
+		c.fetch(peerFetchTimeout, func(ctx context.Context) rollout.Event { return c.fetchEnvelope(ctx, a) })
+	case rollout.FetchPieces:
+		c.fetch(platformReadTimeout, func(ctx context.Context) rollout.Event { return c.fetchPieces(ctx, a) })
+	case rollout.Reject:
+		c.node.log.Log(event.BundleRejected, event.Fields{"from": a.From, "version": a.Version, "error": a.Err.Error()})
+	case rollout.Conflict:
+		c.node.log.Log(event.BundleConflict, event.Fields{
+			"from": a.From, "version": a.Version, "inForce": a.InForce, "different": a.Different,
+		})
+	case rollout.Ready:
+		c.ready.Store(true)
+		c.node.log.Log(event.NodeReady, event.Fields{"version": c.version.Load()})
+	}
+}
+
+// fetch runs f beside the control goroutine and feeds its result back.
+func (c *control) fetch(timeout time.Duration, f func(ctx context.Context) rollout.Event) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		result := f(ctx)
+		c.post(func() { c.stepRollout(result) })
+	}()
+}
+
+func (c *control) fetchEnvelope(ctx context.Context, a rollout.FetchEnvelope) rollout.Event {
+	client, err := c.node.peers.clientOf(a.From)
+	if err != nil {
+		return rollout.FetchFailed{From: a.From, Err: err}
+	}
+	resp, err := client.FetchEnvelope(ctx, &controlv1.FetchEnvelopeRequest{})
+	if err != nil {
+		return rollout.FetchFailed{From: a.From, Err: err}
+	}
+	return rollout.EnvelopeReceived{From: a.From, Envelope: resp.GetEnvelope()}
+}
+
+func (c *control) fetchPieces(ctx context.Context, a rollout.FetchPieces) rollout.Event {
+	if a.From == rollout.Platform {
+		return rollout.ReadPieces(ctx, c.node.platform, a)
+	}
+	client, err := c.node.peers.clientOf(a.From)
+	if err != nil {
+		return rollout.FetchFailed{From: a.From, Names: a.Names, Err: err}
+	}
+	resp, err := client.FetchPieces(ctx, &controlv1.FetchPiecesRequest{Names: a.Names})
+	if err != nil {
+		return rollout.FetchFailed{From: a.From, Names: a.Names, Err: err}
+	}
+	return rollout.PiecesReceived{From: a.From, Pieces: resp.GetPieces()}
+}
+
+// activate puts a bundle into force on this node.
+func (c *control) activate(a rollout.Activate) {
+	b, ok := a.Bundle.(*bundle.Bundle)
+	if !ok {
+		return
+	}
+	c.bundle = b
+	content := c.rollout.Content()
+	c.content.Store(&content)
+	c.version.Store(a.Version)
+	c.node.sidecar.SetBundle(b)
+	for _, t := range c.known {
+		c.addToHealth(t)
+		c.stale[t.Service] = true
+	}
+	c.newView = true
+	c.stepMembers(membership.BundleActivated{Version: a.Version})
+	c.node.log.Log(event.BundleInForce, event.Fields{"version": a.Version, "digest": a.Digest, "bundle": b.Name})
+}
+
+// startSync exchanges the full state with the node at addr.
+func (c *control) startSync(addr string) {
+	req := &controlv1.SyncRequest{Nodes: c.members.State(), Targets: c.targetRecords()}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), peerFetchTimeout)
+		defer cancel()
+		resp, err := c.node.peers.clientAt(fleet.Node{PeerAddr: addr}).Sync(ctx, req)
+		if err != nil {
+			return // membership asks again
+		}
+		c.post(func() { c.merge(resp.GetNodes(), resp.GetTargets()) })
+	}()
+}
+
+func (c *control) targetRecords() []*controlv1.Target {
+	records := c.targets.Records()
+	out := make([]*controlv1.Target, 0, len(records))
+	for _, t := range records {
+		out = append(out, membership.TargetToProto(t))
+	}
+	return out
+}
+
+func (c *control) merge(nodes []*controlv1.Node, targets []*controlv1.Target) {
+	c.stepMembers(membership.Merge{Nodes: nodes})
+	for _, t := range targets {
+		// A record that is not accepted is older than the known one.
+		_ = c.stepTargets(announceRemote(t))
+	}
+}
--- /dev/null
+++ b/internal/node/verifier.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"crypto/ed25519"
+	"sync/atomic"
+
+	"siskinvale.dev/siskinvale/internal/bundle"
+	"siskinvale.dev/siskinvale/internal/config"
+)
+
+// verifier checks envelopes against the keys of the settings. It implements
+// rollout.Verifier.
+type verifier struct {
+	keyring atomic.Pointer[bundle.Keyring]
+}
+
+func newVerifier(t config.Trust) (*verifier, error) {
+	v := &verifier{}
+	return v, v.replace(t)
+}
+
+func (v *verifier) replace(t config.Trust) error {
+	authors, err := publicKeys(t.Authors)
+	if err != nil {
+		return err
+	}
+	approvers, err := publicKeys(t.Approvers)
+	if err != nil {
+		return err
+	}
+	v.keyring.Store(&bundle.Keyring{Authors: authors, Approvers: approvers})
+	return nil
+}
+
+func publicKeys(keys []config.PublicKey) (map[string]ed25519.PublicKey, error) {
+	out := make(map[string]ed25519.PublicKey, len(keys))
+	for _, k := range keys {
+		key, err := k.Decode()
+		if err != nil {
+			return nil, err
+		}
+		out[k.ID] = key
+	}
+	return out, nil
+}
+
+// Verify checks the signatures of an encoded envelope.
+func (v *verifier) Verify(encoded []byte) (version uint64, digest string, pieces []string, err error) {
+	e, err := bundle.DecodeEnvelope(encoded)
+	if err != nil {
+		return 0, "", nil, err
+	}
+	if err := e.Verify(*v.keyring.Load()); err != nil {
+		return 0, "", nil, err
+	}
+	return e.Manifest.Version, e.Manifest.Digest, e.Manifest.Pieces, nil
+}
+
+// Assemble joins the pieces and parses the bundle; the result is a
+// *bundle.Bundle.
+func (v *verifier) Assemble(encoded []byte, pieces map[string][]byte) (any, error) {
+	e, err := bundle.DecodeEnvelope(encoded)
+	if err != nil {
+		return nil, err
+	}
+	b, _, err := e.Open(*v.keyring.Load(), pieces)
+	if err != nil {
+		return nil, err
+	}
+	return b, nil
+}
