--- /dev/null
+++ b/internal/operation/owner.go
@@ -0,0 +1,626 @@
+package operation
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+)
+
+// grantor is what an owner knows about one node that is its standby or may
+// become it.
+type grantor struct {
+	until    time.Duration // end of the lease
+	heard    time.Duration // last answer of any kind, or the first renewal
+	renewAt  time.Duration
+	sent     map[uint64]sentRenewal // unanswered, by sequence
+	answered bool
+	// asked is the epoch of the last renewal.
+	asked fleet.Epoch
+	// refusedAt is the epoch for which the node asked for a later one.
+	refusedAt fleet.Epoch
+}
+
+type sentRenewal struct {
+	at    time.Duration
+	epoch fleet.Epoch
+}
+
+// outgoing is a handover to one standby.
+type outgoing struct {
+	indexes  []int
+	deadline time.Duration // for running operations
+	sent     bool
+	sentAt   time.Duration
+	epoch    fleet.Epoch
+	retryAt  time.Duration
+	sending  bool
+}
+
+// Owner keeps the leases of the ranges that one process owns, replaces lost
+// standbys, and hands ranges over. It also creates the object of a new service
+// and claims released ranges.
+//
+// Until the result of a write is known, either the old or the new standby of a
+// range may be the one that can take over. The owner then needs the promises
+// of both.
+type Owner struct {
+	service      string
+	cfg          Config
+	self         fleet.NodeID
+	incarnation  uint64
+	running      func(index int) int
+	writer       writer
+	view         View
+	missing      bool
+	members      []Member
+	membersSince time.Duration
+	grantors     map[fleet.NodeID]*grantor
+	frozen       map[int]fleet.Epoch // handed over in this epoch
+	outgoing     map[fleet.NodeID]*outgoing
+	sequence     uint64
+	release      bool
+	leaving      bool
+	lastStep     time.Duration
+	holdOff      map[fleet.NodeID]time.Duration
+	unowned      []int
+}
+
+// NewOwner returns the machine of a process that starts now. running returns
+// the number of operations that are running in a range.
+func NewOwner(service string, cfg Config, self fleet.NodeID, incarnation uint64, running func(index int) int) *Owner {
+	cfg = cfg.withDefaults()
+	return &Owner{
+		service: service, cfg: cfg, self: self, incarnation: incarnation, running: running,
+		writer:   newWriter(cfg, "owner", self, incarnation),
+		grantors: map[fleet.NodeID]*grantor{}, frozen: map[int]fleet.Epoch{}, outgoing: map[fleet.NodeID]*outgoing{},
+		holdOff: map[fleet.NodeID]time.Duration{},
+	}
+}
+
+// View returns the assignment that the machine knows.
+func (o *Owner) View() View { return o.view }
+
+// Holds reports whether this process owns the range and holds its lease.
+func (o *Owner) Holds(index int, now Now) (fleet.Epoch, bool) {
+	if index >= len(o.view.Assignment.Ranges) {
+		return 0, false
+	}
+	r := o.view.Assignment.Ranges[index]
+	if _, frozen := o.frozen[index]; frozen || !o.mine(r) {
+		return r.Epoch, false
+	}
+	if !o.promised(r.Standby, now) {
+		return r.Epoch, false
+	}
+	if p := o.writer.pending; p != nil && !o.promised(p.next.Ranges[index].Standby, now) {
+		return r.Epoch, false
+	}
+	return r.Epoch, true
+}
+
+func (o *Owner) mine(r Range) bool {
+	return r.Owner == o.self && r.OwnerIncarnation == o.incarnation
+}
+
+// promised reports whether the standby will not take over now. Without a
+// standby nobody may take over.
+func (o *Owner) promised(standby fleet.NodeID, now Now) bool {
+	if standby == "" {
+		return true
+	}
+	g := o.grantors[standby]
+	return g != nil && now.Mono < g.until
+}
+
+// Step handles one event.
+func (o *Owner) Step(now Now, ev Event) []Action {
+	if now.Mono-o.lastStep > ownPause {
+		// This process was paused: the silence of others proves nothing.
+		for _, g := range o.grantors {
+			g.heard = now.Mono
+		}
+	}
+	o.lastStep = now.Mono
+	actions, written := o.writer.step(now, ev)
+	if written != nil {
+		actions = append(actions, o.learn(*written)...)
+	}
+	switch e := ev.(type) {
+	case MembersChanged:
+		if !slices.Equal(e.Members, o.members) {
+			o.members, o.membersSince = slices.Clone(e.Members), now.Mono
+		}
+	case AssignmentRead:
+		o.missing = e.Missing && e.FromPlatform && o.view.Version == 0
+		actions = append(actions, o.learn(e.View)...)
+	case GrantReceived:
+		actions = append(actions, o.granted(now, e)...)
+	case HandOverDone:
+		actions = append(actions, o.handOverDone(now, e)...)
+	case OperatorRelease:
+		o.release = true
+	case Leave:
+		o.leaving = true
+	}
+	if o.view.Version == 0 {
+		return append(actions, o.create(now)...)
+	}
+	actions = append(actions, o.write(now)...)
+	actions = append(actions, o.handOver(now)...)
+	actions = append(actions, o.renew(now)...)
+	return append(actions, o.reportUnowned()...)
+}
+
+// ownPause is the longest gap between two steps of a process that is not
+// paused: ten ticks.
+const ownPause = time.Second
+
+func (o *Owner) accepts() bool {
+	return slices.ContainsFunc(o.members, func(m Member) bool { return m.Node == o.self && m.Accepts })
+}
+
+// create writes the first assignment of a service. Of several nodes that race,
+// exactly one wins and the others read its object.
+func (o *Owner) create(now Now) []Action {
+	if o.writer.pending != nil {
+		return nil
+	}
+	if !o.missing || !o.accepts() {
+		return o.writer.read(now)
+	}
+	o.missing = false
+	a := Create(o.service, o.cfg.Ranges, o.members, o.self, o.incarnation)
+	a.WriteID = o.writer.nextID()
+	return []Action{o.writer.propose(0, a)}
+}
+
+// learn adopts a newer view.
+func (o *Owner) learn(v View) []Action {
+	if v.Version <= o.view.Version {
+		return nil
+	}
+	old := o.view.Assignment.Ranges
+	o.view = v
+	o.writer.settle(v.Version)
+	var lost []int
+	for i, r := range v.Assignment.Ranges {
+		if !o.mine(r) {
+			delete(o.frozen, i)
+			if i < len(old) && o.mine(old[i]) {
+				lost = append(lost, i)
+			}
+		} else if epoch, ok := o.frozen[i]; ok && r.Epoch > epoch {
+			// The old handover is void, because the standby checks the epoch.
+			delete(o.frozen, i)
+		}
+	}
+	actions := o.pruneOutgoing()
+	if len(lost) > 0 {
+		actions = append(actions, Release{Indexes: lost})
+	}
+	return actions
+}
+
+// pruneOutgoing drops the ranges from handovers that the view has settled, and
+// opens those that stay here.
+func (o *Owner) pruneOutgoing() []Action {
+	var actions []Action
+	for _, to := range sortedNodes(o.outgoing) {
+		out := o.outgoing[to]
+		var valid, open []int
+		for _, i := range out.indexes {
+			r := o.view.Assignment.Ranges[i]
+			_, frozen := o.frozen[i]
+			switch {
+			case !o.mine(r):
+			case r.Standby != to || out.sent && !frozen:
+				open = append(open, i)
+			default:
+				valid = append(valid, i)
+			}
+		}
+		if out.indexes = valid; len(valid) == 0 {
+			delete(o.outgoing, to)
+		}
+		if len(open) > 0 {
+			actions = append(actions, OpenRanges{Indexes: open})
+		}
+	}
+	return actions
+}
+
+func sortedNodes[V any](m map[fleet.NodeID]V) []fleet.NodeID {
+	return slices.Sorted(maps.Keys(m))
+}
+
+func (o *Owner) grantor(now Now, node fleet.NodeID) *grantor {
+	g := o.grantors[node]
+	if g == nil {
+		g = &grantor{heard: now.Mono, renewAt: now.Mono, sent: map[uint64]sentRenewal{}}
+		o.grantors[node] = g
+	}
+	return g
+}
+
+// silent reports whether a node has left renewals unanswered for too long.
+func (o *Owner) silent(now Now, node fleet.NodeID) bool {
+	g := o.grantors[node]
+	return g != nil && now.Mono-g.heard >= o.cfg.StandbyLostAfter
+}
+
+func (o *Owner) granted(now Now, e GrantReceived) []Action {
+	g := o.grantors[e.From]
+	if g == nil {
+		return nil
+	}
+	sent, ok := g.sent[e.Sequence]
+	if !ok {
+		return nil
+	}
+	delete(g.sent, e.Sequence)
+	if e.Granted {
+		g.heard, g.answered, g.refusedAt = now.Mono, true, 0
+		g.until = max(g.until, sent.at+o.cfg.Lease)
+		return nil
+	}
+	switch {
+	case e.CurrentEpoch > o.view.Assignment.Epoch:
+		g.heard, g.answered = now.Mono, true
+		return o.writer.read(now)
+	case e.CurrentEpoch != 0 && e.CurrentEpoch >= sent.epoch:
+		g.heard, g.answered, g.refusedAt = now.Mono, true, sent.epoch
+	}
+	return nil
+}
+
+// alive reports whether a node may be made a standby: it has answered lately.
+func (o *Owner) alive(now Now, node fleet.NodeID) bool {
+	g := o.grantors[node]
+	return g != nil && g.answered && !o.silent(now, node)
+}
+
+// renew sends the renewals that are due to all nodes whose promise is needed
+// or will be needed.
+func (o *Owner) renew(now Now) []Action {
+	var actions []Action
+	wanted := o.wantedGrantors(now)
+	for node := range o.grantors {
+		if !slices.Contains(wanted, node) {
+			if o.silent(now, node) && now.Mono-o.grantors[node].heard < 2*o.cfg.Promise {
+				continue // remembered as silent for a while
+			}
+			delete(o.grantors, node)
+		}
+	}
+	for _, node := range wanted {
+		g := o.grantor(now, node)
+		newEpoch := g.asked != o.view.Assignment.Epoch && !o.promised(node, now)
+		if now.Mono < g.renewAt && !newEpoch {
+			continue
+		}
+		// All services of a node renew at the same moments, so that one
+		// message to each standby carries all renewals.
+		g.renewAt = (now.Mono/o.cfg.RenewEvery + 1) * o.cfg.RenewEvery
+		g.asked = o.view.Assignment.Epoch
+		o.sequence++
+		for sequence, s := range g.sent {
+			if now.Mono-s.at >= o.cfg.Lease {
+				delete(g.sent, sequence)
+			}
+		}
+		g.sent[o.sequence] = sentRenewal{at: now.Mono, epoch: o.view.Assignment.Epoch}
+		actions = append(actions, SendRenew{To: node, Epoch: o.view.Assignment.Epoch, Sequence: o.sequence})
+	}
+	return actions
+}
+
+func (o *Owner) wantedGrantors(now Now) []fleet.NodeID {
+	set := map[fleet.NodeID]bool{}
+	planned, _ := Plan(o.view.Assignment, o.candidates(now), o.self)
+	for i, r := range o.view.Assignment.Ranges {
+		if !o.mine(r) {
+			continue
+		}
+		set[r.Standby] = true
+		set[planned.Ranges[i].Standby] = true
+		if p := o.writer.pending; p != nil {
+			set[p.next.Ranges[i].Standby] = true
+		}
+	}
+	delete(set, "")
+	delete(set, o.self)
+	return sortedNodes(set)
+}
+
+// candidates are the members without those that do not answer this node.
+func (o *Owner) candidates(now Now) []Member {
+	return slices.DeleteFunc(slices.Clone(o.members), func(m Member) bool {
+		return m.Node != o.self && o.silent(now, m.Node)
+	})
+}
+
+// write proposes all changes that are due as one write.
+func (o *Owner) write(now Now) []Action {
+	if !o.writer.mayPropose(now) {
+		return nil
+	}
+	next := o.view.Assignment.next("")
+	changed := o.planStandbys(now, &next)
+	changed = o.reclaim(now, &next) || changed
+	changed = o.claim(now, &next) || changed
+	changed = o.renewEpoch(now) || changed
+	changed = o.leave(now, &next) || changed
+	if !changed {
+		return nil
+	}
+	next.WriteID = o.writer.nextID()
+	return []Action{o.writer.propose(o.view.Version, next)}
+}
+
+// planStandbys replaces lost standbys at once and makes the standbys fit even
+// shares when the members have been stable.
+func (o *Owner) planStandbys(now Now, next *Assignment) bool {
+	candidates := o.candidates(now)
+	planned, differs := Plan(o.view.Assignment, candidates, o.self)
+	if !differs {
+		return false
+	}
+	stable := now.Mono-o.membersSince >= o.cfg.RebalanceDelay || !o.accepts()
+	changed := false
+	for i, r := range o.view.Assignment.Ranges {
+		to := planned.Ranges[i].Standby
+		if !o.mine(r) || to == r.Standby || o.moving(i, r.Standby) {
+			continue
+		}
+		lost := r.Standby == "" || !isCandidate(candidates, r.Standby)
+		if !lost && !stable {
+			continue
+		}
+		if to == "" && !o.alone(now, r.Standby) || to != "" && !o.alive(now, to) {
+			continue
+		}
+		next.Ranges[i].Standby = to
+		next.Ranges[i].Epoch = next.Epoch
+		changed = true
+	}
+	return changed
+}
+
+func isCandidate(members []Member, node fleet.NodeID) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.Node == node && m.Accepts })
+}
+
+// moving reports whether the range is part of a handover that its standby may
+// still complete.
+func (o *Owner) moving(index int, standby fleet.NodeID) bool {
+	out := o.outgoing[standby]
+	return out != nil && slices.Contains(out.indexes, index)
+}
+
+// alone reports whether the owner may do without a standby: the last one has
+// been silent for longer than it would take to take over, and no other member
+// answers. A standby that is alive behind a partition has taken over by then.
+func (o *Owner) alone(now Now, standby fleet.NodeID) bool {
+	g := o.grantors[standby]
+	return g == nil || now.Mono-g.heard >= o.cfg.Promise+o.cfg.Margin+2*time.Second
+}
+
+// reclaim takes ranges back whose standby has not taken over after a handover.
+// The new epoch makes the handover void.
+func (o *Owner) reclaim(now Now, next *Assignment) bool {
+	changed := false
+	for to, out := range o.outgoing {
+		lost := o.silent(now, to) || !slices.ContainsFunc(o.members, func(m Member) bool { return m.Node == to })
+		if !out.sent || now.Mono-out.sentAt < o.cfg.ReclaimAfter || !o.accepts() && !lost {
+			continue
+		}
+		for _, i := range out.indexes {
+			if _, frozen := o.frozen[i]; frozen {
+				next.Ranges[i].Epoch = next.Epoch
+				if lost {
+					next.Ranges[i].Standby = o.otherStandby(now, i, to)
+				}
+				changed = true
+			}
+		}
+		o.holdOff[to] = now.Mono + reclaimHoldOff
+	}
+	return changed
+}
+
+// reclaimHoldOff is how long a member that did not complete a handover is
+// offered none for the sake of even shares: its ranges were without an owner
+// for ReclaimAfter, and this keeps that below a tenth of the time.
+const reclaimHoldOff = time.Minute
+
+func (o *Owner) otherStandby(now Now, index int, lost fleet.NodeID) fleet.NodeID {
+	others := slices.DeleteFunc(o.candidates(now), func(m Member) bool { return m.Node == lost })
+	if s := chooseStandby(o.service, index, "", o.self, others); s != "" {
+		return s
+	}
+	return lost
+}
+
+// claim takes ranges that were released, and those that an earlier process of
+// this node owned without a standby. It also releases ranges for an operator.
+func (o *Owner) claim(now Now, next *Assignment) bool {
+	changed := false
+	if o.release {
+		o.release = false
+		changed = releaseUnowned(next, o.members, now.Wall) > 0
+	}
+	if !o.accepts() {
+		return changed
+	}
+	want := desired(o.view.Assignment, o.members)
+	for i, r := range o.view.Assignment.Ranges {
+		restarted := r.Owner == o.self && r.Standby == "" && r.OwnerIncarnation < o.incarnation
+		if r.Owner != "" && !restarted || want[i] != o.self {
+			continue
+		}
+		n := &next.Ranges[i]
+		n.Owner, n.OwnerIncarnation, n.Epoch = o.self, o.incarnation, next.Epoch
+		n.Standby = chooseStandby(o.service, i, "", o.self, o.members)
+		if restarted && now.Wall.After(n.FencedAt) {
+			n.FencedAt = now.Wall
+		}
+		changed = true
+	}
+	return changed
+}
+
+// leave releases the ranges of a stopping node that no other member can take.
+// They are frozen before the write, which fences them.
+func (o *Owner) leave(now Now, next *Assignment) bool {
+	if !o.leaving || len(acceptingMembers(o.members)) > 0 {
+		return false
+	}
+	changed := false
+	for i, r := range o.view.Assignment.Ranges {
+		if !o.mine(r) || r.Standby != "" {
+			continue
+		}
+		o.frozen[i] = o.view.Assignment.Epoch
+		n := Range{Epoch: next.Epoch, FencedAt: r.FencedAt}
+		if now.Wall.After(n.FencedAt) {
+			n.FencedAt = now.Wall
+		}
+		next.Ranges[i] = n
+		changed = true
+	}
+	return changed
+}
+
+// renewEpoch reports whether a standby can vouch only for a later epoch.
+func (o *Owner) renewEpoch(now Now) bool {
+	for _, r := range o.view.Assignment.Ranges {
+		g := o.grantors[r.Standby]
+		if o.mine(r) && g != nil && g.refusedAt == o.view.Assignment.Epoch && !o.promised(r.Standby, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// ReleaseUnowned frees the ranges whose owner and standby are both missing
+// from members, for siskinvalectl. The operator has made sure that the owners'
+// processes have ended; keys from before now stay unknown. It returns the
+// number of ranges and needs a WriteID before it is written.
+func ReleaseUnowned(a Assignment, members []Member, wall time.Time) (Assignment, int) {
+	next := a.next("")
+	n := releaseUnowned(&next, members, wall)
+	return next, n
+}
+
+func releaseUnowned(next *Assignment, members []Member, wall time.Time) int {
+	indexes := unowned(*next, members)
+	for _, i := range indexes {
+		r := Range{Epoch: next.Epoch, FencedAt: next.Ranges[i].FencedAt}
+		if wall.After(r.FencedAt) {
+			r.FencedAt = wall
+		}
+		next.Ranges[i] = r
+	}
+	return len(indexes)
+}
+
+func unowned(a Assignment, members []Member) []int {
+	present := func(node fleet.NodeID) bool {
+		return slices.ContainsFunc(members, func(m Member) bool { return m.Node == node })
+	}
+	var indexes []int
+	for i, r := range a.Ranges {
+		if r.Owner != "" && !present(r.Owner) && !present(r.Standby) {
+			indexes = append(indexes, i)
+		}
+	}
+	return indexes
+}
+
+func (o *Owner) reportUnowned() []Action {
+	indexes := unowned(o.view.Assignment, o.members)
+	if slices.Equal(indexes, o.unowned) || len(o.members) == 0 {
+		return nil
+	}
+	o.unowned = indexes
+	return []Action{Unowned{Indexes: indexes}}
+}
+
+// handOver starts and continues handovers: to the members that even shares
+// give ranges to, and of everything when this node does not accept work.
+func (o *Owner) handOver(now Now) []Action {
+	var actions []Action
+	due := o.due(now)
+	for _, to := range sortedNodes(due) {
+		if indexes := due[to]; o.outgoing[to] == nil {
+			o.outgoing[to] = &outgoing{indexes: indexes, deadline: now.Mono + o.cfg.HandOverWait}
+			actions = append(actions, CloseRanges{Indexes: indexes})
+		}
+	}
+	for _, to := range sortedNodes(o.outgoing) {
+		out := o.outgoing[to]
+		switch {
+		case out.sending || now.Mono < out.retryAt:
+		case out.sent:
+			// The answer was lost or negative: the same records again.
+			out.sending = true
+			actions = append(actions, SendHandOver{To: to, Epoch: out.epoch, Indexes: out.indexes})
+		case now.Mono >= out.deadline || !slices.ContainsFunc(out.indexes, func(i int) bool { return o.running(i) > 0 }):
+			out.sent, out.sending, out.sentAt, out.epoch = true, true, now.Mono, o.view.Assignment.Epoch
+			for _, i := range out.indexes {
+				o.frozen[i] = out.epoch
+			}
+			actions = append(actions, SendHandOver{To: to, Epoch: out.epoch, Indexes: out.indexes})
+		}
+	}
+	return actions
+}
+
+// due returns the ranges that can be handed over now, by standby.
+func (o *Owner) due(now Now) map[fleet.NodeID][]int {
+	accepts := o.accepts()
+	if o.writer.pending != nil || accepts && (o.writer.away || now.Mono-o.membersSince < o.cfg.RebalanceDelay) {
+		return nil
+	}
+	want := desired(o.view.Assignment, o.candidates(now))
+	due := map[fleet.NodeID][]int{}
+	for i, r := range o.view.Assignment.Ranges {
+		_, frozen := o.frozen[i]
+		if accepts && now.Mono < o.holdOff[r.Standby] {
+			continue
+		}
+		if o.mine(r) && !frozen && r.Standby != "" && want[i] == r.Standby && o.alive(now, r.Standby) {
+			due[r.Standby] = append(due[r.Standby], i)
+		}
+	}
+	return due
+}
+
+func (o *Owner) handOverDone(now Now, e HandOverDone) []Action {
+	out := o.outgoing[e.To]
+	if out == nil || !out.sent || out.epoch != e.Epoch {
+		return nil
+	}
+	out.sending = false
+	out.retryAt = now.Mono + o.cfg.PlatformRetry
+	if e.Accepted {
+		// The standby writes now; ask again only if nothing has changed by
+		// the time the range could be reclaimed.
+		out.retryAt = now.Mono + o.cfg.ReclaimAfter
+		return o.writer.read(now)
+	}
+	return nil
+}
+
+// Owns returns how many ranges this process owns by the known view.
+func (o *Owner) Owns() int {
+	n := 0
+	for _, r := range o.view.Assignment.Ranges {
+		if o.mine(r) {
+			n++
+		}
+	}
+	return n
+}
