--- a/internal/operation/manager.go
+++ b/internal/operation/manager.go
@@ -125,6 +125,9 @@
 	work  sync.WaitGroup
 	ctx   context.Context
 	stop  context.CancelFunc
+	// io performs an action that is not the table's. It is perform except in
+	// schedules with virtual time.
+	io func(s *service, a Action)
 }
 
 // NewManager returns the manager of a process that starts now. incarnation is
@@ -136,6 +139,7 @@
 		clock: clock, log: log, services: map[string]*service{},
 	}
 	m.ctx, m.stop = context.WithCancel(context.Background())
+	m.io = m.perform
 	m.views.Store(&map[string]View{})
 	return m
 }
@@ -327,7 +331,7 @@
 				renewals[r.To] = append(renewals[r.To], renewal(s, r))
 				continue
 			}
-			m.perform(s, a)
+			m.io(s, a)
 		}
 	}
 	for to, list := range renewals {
@@ -395,7 +399,7 @@
 // step feeds an event to the machines and performs their actions.
 func (m *Manager) step(s *service, ev Event) {
 	for _, a := range m.apply(s, ev) {
-		m.perform(s, a)
+		m.io(s, a)
 	}
 }
 
--- a/internal/operation/peers.go
+++ b/internal/operation/peers.go
@@ -40,7 +40,7 @@
 				grant.Granted, grant.CurrentEpoch = g.Granted, uint64(g.CurrentEpoch)
 				continue
 			}
-			m.perform(s, a)
+			m.io(s, a)
 		}
 		answer.Grants = append(answer.Grants, grant)
 	}
@@ -129,7 +129,7 @@
 			answer.Accepted, answer.Reason = h.Accepted, h.Reason
 			continue
 		}
-		m.perform(s, a)
+		m.io(s, a)
 	}
 	return answer, nil
 }
