--- /dev/null
+++ b/internal/membership/transport.go
@@ -0,0 +1,141 @@
+package membership
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+
+	"siskinvale.dev/siskinvale/internal/auth"
+	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
+)
+
+// ErrDatagramTooLarge is returned for a message that exceeds MaxDatagram.
+var ErrDatagramTooLarge = errors.New("datagram is too large")
+
+// TransportCounts are the packets of one transport since it was opened.
+type TransportCounts struct {
+	Sent, SentBytes         uint64
+	Received, ReceivedBytes uint64
+	// Unauthenticated and Malformed packets were dropped.
+	Unauthenticated, Malformed uint64
+	// SendErrors counts packets that the socket refused.
+	SendErrors uint64
+}
+
+// Transport sends and receives sealed datagrams on one UDP socket. It is safe
+// for concurrent use.
+type Transport struct {
+	conn    *net.UDPConn
+	keys    *auth.Keys
+	deliver func(from string, d *controlv1.Datagram)
+	done    chan struct{}
+
+	sent, sentBytes, received, receivedBytes atomic.Uint64
+	unauthenticated, malformed, sendErrors   atomic.Uint64
+}
+
+// Listen opens the socket at addr (ip:port) and passes each authenticated
+// datagram, of membership or evidence, to deliver. deliver is called from one
+// goroutine and must not block for long.
+func Listen(addr string, keys *auth.Keys, deliver func(from string, d *controlv1.Datagram)) (*Transport, error) {
+	local, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, fmt.Errorf("membership address: %w", err)
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(local))
+	if err != nil {
+		return nil, fmt.Errorf("membership socket: %w", err)
+	}
+	t := &Transport{conn: conn, keys: keys, deliver: deliver, done: make(chan struct{})}
+	go t.receive()
+	return t, nil
+}
+
+// Addr returns the socket's address (ip:port).
+func (t *Transport) Addr() string { return t.conn.LocalAddr().String() }
+
+// Close closes the socket and waits until deliver is no longer called.
+func (t *Transport) Close() error {
+	err := t.conn.Close()
+	<-t.done
+	return err
+}
+
+// Send seals and sends one message to an address (ip:port).
+func (t *Transport) Send(to string, d *controlv1.Datagram) error {
+	addr, err := netip.ParseAddrPort(to)
+	if err != nil {
+		t.sendErrors.Add(1)
+		return fmt.Errorf("peer address: %w", err)
+	}
+	packet, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, 0, MaxDatagram), d)
+	if err != nil {
+		t.sendErrors.Add(1)
+		return fmt.Errorf("encode datagram: %w", err)
+	}
+	if len(packet)+auth.TagSize > MaxDatagram {
+		t.sendErrors.Add(1)
+		return fmt.Errorf("%w: %d bytes with its tag", ErrDatagramTooLarge, len(packet)+auth.TagSize)
+	}
+	packet = t.keys.Seal(packet)
+	if _, err := t.conn.WriteToUDPAddrPort(packet, addr); err != nil {
+		t.sendErrors.Add(1)
+		return fmt.Errorf("send datagram: %w", err)
+	}
+	t.sent.Add(1)
+	t.sentBytes.Add(uint64(len(packet)))
+	return nil
+}
+
+func (t *Transport) receive() {
+	defer close(t.done)
+	// One byte more than allowed shows that a packet is too long.
+	buffer := make([]byte, MaxDatagram+1)
+	for {
+		n, from, err := t.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// An ICMP error for an earlier packet; the socket stays usable.
+			continue
+		}
+		t.received.Add(1)
+		t.receivedBytes.Add(uint64(n))
+		if d := t.open(buffer[:n]); d != nil {
+			t.deliver(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String(), d)
+		}
+	}
+}
+
+// open returns the message of a packet, or nil for one that was dropped.
+func (t *Transport) open(sealed []byte) *controlv1.Datagram {
+	if len(sealed) > MaxDatagram {
+		t.malformed.Add(1)
+		return nil
+	}
+	packet, err := t.keys.Open(sealed)
+	if err != nil {
+		t.unauthenticated.Add(1)
+		return nil
+	}
+	d := new(controlv1.Datagram)
+	if err := proto.Unmarshal(packet, d); err != nil || d.From == "" {
+		t.malformed.Add(1)
+		return nil
+	}
+	return d
+}
+
+// Counts returns the counters.
+func (t *Transport) Counts() TransportCounts {
+	return TransportCounts{
+		Sent: t.sent.Load(), SentBytes: t.sentBytes.Load(),
+		Received: t.received.Load(), ReceivedBytes: t.receivedBytes.Load(),
+		Unauthenticated: t.unauthenticated.Load(), Malformed: t.malformed.Load(), SendErrors: t.sendErrors.Load(),
+	}
+}
