--- /dev/null
+++ b/internal/bundle/bundle.go
@@ -0,0 +1,182 @@
+// Package bundle holds the versioned configuration of a fleet: its YAML format
+// and validation, route matching, content-defined pieces, signatures and
+// differences. A Bundle is immutable once Parse has returned it.
+package bundle
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/goccy/go-yaml"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+)
+
+// Limits of the format. The ones that are part of the format reference are
+// listed in docs/bundle.md.
+const (
+	// MaxSize is the largest accepted bundle in bytes. A bundle of the planned
+	// size (18,000 routes) takes about 2 MB, and the manifest of MaxSize bytes
+	// still fits a platform value of 1 MB.
+	MaxSize = 8 << 20
+	// MinRanges and MaxRanges bound how many key ranges a service has.
+	MinRanges = 64
+	MaxRanges = 256
+	// MaxSlots bounds the slots of one target.
+	MaxSlots = 1024
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts = 5
+	// MaxWeight bounds the weight of one tenant.
+	MaxWeight = 1000
+	// MaxBody bounds the body of one request in bytes.
+	MaxBody = 1 << 30
+	// maxName is the longest name; a service name is a DNS label, because the
+	// first label of Host can address the service.
+	maxName = 63
+)
+
+// Bundle is one version of the fleet's configuration.
+type Bundle struct {
+	Name        string       `yaml:"name" jsonschema:"pattern=^[a-z0-9]([a-z0-9-]*[a-z0-9])?$,maxLength=63"`
+	Version     uint64       `yaml:"version" jsonschema:"minimum=1"`
+	Signers     Signers      `yaml:"signers"`
+	DataCentres []DataCentre `yaml:"dataCentres" jsonschema:"minItems=1"`
+	Services    []Service    `yaml:"services" jsonschema:"minItems=1"`
+	Tenants     Tenants      `yaml:"tenants"`
+
+	index *index
+}
+
+// Signers lists the identifiers of the keys that may sign the bundle.
+type Signers struct {
+	Authors   []string `yaml:"authors" jsonschema:"minItems=1"`
+	Approvers []string `yaml:"approvers" jsonschema:"minItems=1"`
+}
+
+// DataCentre is one data centre and the region it lies in.
+type DataCentre struct {
+	Name   string `yaml:"name"`
+	Region string `yaml:"region"`
+}
+
+// Service is one service and the limits that apply to it.
+type Service struct {
+	Name string `yaml:"name" jsonschema:"pattern=^[a-z0-9]([a-z0-9-]*[a-z0-9])?$,maxLength=63"`
+	// Slots is how many requests one target runs at the same time.
+	Slots int `yaml:"slots" jsonschema:"minimum=1,maximum=1024"`
+	// ExpectedTargets is how many targets the service usually has.
+	ExpectedTargets int `yaml:"expectedTargets" jsonschema:"minimum=1"`
+	// Floor is how many targets ejection always leaves in use.
+	Floor      int        `yaml:"floor" jsonschema:"minimum=1"`
+	Operations Operations `yaml:"operations,omitempty"`
+	Classes    []Class    `yaml:"classes" jsonschema:"minItems=1"`
+	Routes     []Route    `yaml:"routes" jsonschema:"minItems=1"`
+}
+
+// Operations configures at-most-once execution. It may be absent from a
+// service whose classes take no idempotency key.
+type Operations struct {
+	Ranges      int      `yaml:"ranges" jsonschema:"minimum=64,maximum=256"`
+	RetryWindow Duration `yaml:"retryWindow"`
+}
+
+// Class is a kind of request with common limits.
+type Class struct {
+	Name           string         `yaml:"name" jsonschema:"pattern=^[a-z0-9]([a-z0-9-]*[a-z0-9])?$,maxLength=63"`
+	Idempotent     bool           `yaml:"idempotent"`
+	IdempotencyKey KeyRule        `yaml:"idempotencyKey"`
+	Priority       fleet.Priority `yaml:"priority"`
+	Length         fleet.Length   `yaml:"length"`
+	// Deadline is the longest time from the caller's request to its answer.
+	Deadline Duration `yaml:"deadline"`
+	// Expected is the usual run time at a target.
+	Expected Duration `yaml:"expected"`
+	// Attempts is how often a request may be dispatched to a target.
+	Attempts int `yaml:"attempts" jsonschema:"minimum=1,maximum=5"`
+	// MaxBody is the largest request body in bytes.
+	MaxBody int64 `yaml:"maxBody" jsonschema:"minimum=0,maximum=1073741824"`
+}
+
+// Route assigns a class to the requests with a method and a path. Path is
+// exact, or a prefix when it ends in "/*"; ":name" matches one segment. The
+// first route that matches applies.
+type Route struct {
+	Method string `yaml:"method" jsonschema:"enum=GET,enum=HEAD,enum=POST,enum=PUT,enum=PATCH,enum=DELETE,enum=OPTIONS"`
+	Path   string `yaml:"path" jsonschema:"pattern=^/"`
+	Class  string `yaml:"class"`
+}
+
+// Tenants holds the limits of the organisations.
+type Tenants struct {
+	// Default applies to each organisation that is not named.
+	Default Limit        `yaml:"default"`
+	Named   []NamedLimit `yaml:"named,omitempty"`
+}
+
+// Limit bounds the requests of one organisation.
+type Limit struct {
+	RequestsPerSecond float64 `yaml:"requestsPerSecond" jsonschema:"exclusiveMinimum=0"`
+	Burst             float64 `yaml:"burst" jsonschema:"minimum=1"`
+	// Weight is the organisation's share where tenants compete.
+	Weight int `yaml:"weight" jsonschema:"minimum=1,maximum=1000"`
+}
+
+// NamedLimit is the limit of one organisation.
+type NamedLimit struct {
+	Name  string `yaml:"name"`
+	Limit `yaml:",inline"`
+}
+
+// Finding is one fault of a bundle.
+type Finding struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Message string `json:"message"`
+}
+
+// String returns FILE:LINE:COLUMN: message.
+func (f Finding) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, f.Message)
+}
+
+// Encode returns the bundle as YAML that Parse accepts.
+func (b *Bundle) Encode() ([]byte, error) {
+	content, err := yaml.MarshalWithOptions(b, yaml.CustomMarshaler(plainNumber))
+	if err != nil {
+		return nil, fmt.Errorf("encode bundle: %w", err)
+	}
+	return content, nil
+}
+
+// plainNumber avoids exponents, which the YAML library writes as "1e+09" and
+// reads as a string.
+func plainNumber(f float64) ([]byte, error) {
+	return strconv.AppendFloat(nil, f, 'f', -1, 64), nil
+}
+
+// Service returns the service with a name, or nil.
+func (b *Bundle) Service(name string) *Service {
+	if b.index != nil {
+		if s, ok := b.index.services[name]; ok {
+			return s.service
+		}
+		return nil
+	}
+	for i := range b.Services {
+		if b.Services[i].Name == name {
+			return &b.Services[i]
+		}
+	}
+	return nil
+}
+
+// Class returns the class with a name, or nil.
+func (s *Service) Class(name string) *Class {
+	for i := range s.Classes {
+		if s.Classes[i].Name == name {
+			return &s.Classes[i]
+		}
+	}
+	return nil
+}
