--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -171,6 +171,15 @@
 	return nil
 }
 
+// Limit returns the limit of an organisation, which is the default one unless
+// it is named. It needs a bundle that Parse returned.
+func (b *Bundle) Limit(tenant string) Limit {
+	if limit, ok := b.index.limits[tenant]; ok {
+		return limit
+	}
+	return b.Tenants.Default
+}
+
 // Class returns the class with a name, or nil.
 func (s *Service) Class(name string) *Class {
 	for i := range s.Classes {
--- a/internal/bundle/route.go
+++ b/internal/bundle/route.go
@@ -10,6 +10,7 @@
 // index finds the route of a request without comparing it with every route.
 type index struct {
 	services map[string]*serviceIndex
+	limits   map[string]Limit // of named tenants
 }
 
 type serviceIndex struct {
@@ -38,7 +39,13 @@
 }
 
 func newIndex(b *Bundle) *index {
-	ix := &index{services: make(map[string]*serviceIndex, len(b.Services))}
+	ix := &index{
+		services: make(map[string]*serviceIndex, len(b.Services)),
+		limits:   make(map[string]Limit, len(b.Tenants.Named)),
+	}
+	for _, t := range b.Tenants.Named {
+		ix.limits[t.Name] = t.Limit
+	}
 	for i := range b.Services {
 		s := &b.Services[i]
 		si := &serviceIndex{service: s, methods: make(map[string]*routeNode)}
--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -14,10 +14,18 @@
 	ListenerFailed     = declare(1008, "listener-failed", logrus.ErrorLevel, "a listener failed")
 	HandoverIncomplete = declare(1010, "handover-incomplete", logrus.WarnLevel, "key ranges were not handed over before the stop; their standbys take over later")
 	MessageRefused     = declare(1011, "message-refused", logrus.WarnLevel, "a message of a peer was refused")
+	NodeStateChanged   = declare(1013, "node-state-changed", logrus.InfoLevel, "another node changed its state")
 	DuplicateNodeID    = alarm(1012, "duplicate-node-id", "another node process uses this node's identifier")
 	AuthRefused        = declare(1009, "auth-refused", logrus.WarnLevel, "a peer or operator without valid credentials was refused")
 )
 
+// Events of bundles on a node.
+var (
+	BundleInForce  = declare(2201, "bundle-in-force", logrus.InfoLevel, "a bundle version is in force on this node")
+	BundleRejected = declare(2202, "bundle-rejected", logrus.WarnLevel, "a bundle was not accepted")
+	BundleConflict = alarm(2203, "bundle-conflict", "two signed bundles have the same version and different content")
+)
+
 // Events of single requests.
 var (
 	AnswerCut = declare(5101, "answer-cut", logrus.WarnLevel, "an answer was cut short after its first byte; the caller's connection was broken")
--- a/internal/ingress/problem.go
+++ b/internal/ingress/problem.go
@@ -55,8 +55,8 @@
 	default:
 		p.status = http.StatusGatewayTimeout
 	}
-	if reply.Status == http.StatusUnprocessableEntity || reply.Status == http.StatusConflict {
-		p.status = reply.Status
+	if reply.Mismatch {
+		p.status = http.StatusUnprocessableEntity
 	}
 	return p
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -13,6 +13,7 @@
 	"siskinvale.dev/siskinvale/internal/bundle"
 	"siskinvale.dev/siskinvale/internal/fleet"
 	"siskinvale.dev/siskinvale/internal/link"
+	"siskinvale.dev/siskinvale/internal/operation"
 )
 
 const (
@@ -62,10 +63,13 @@
 	return r.class.Name
 }
 
-// keyed reports whether the request is a named operation of a class that must
-// run at most once.
+// Keyed reports whether requests of a class can be named operations, which
+// their owner runs at most once.
+func Keyed(c bundle.Class) bool { return !c.Idempotent && c.IdempotencyKey != bundle.KeyNone }
+
+// keyed reports whether the request is a named operation.
 func (r *request) keyed() bool {
-	return r.key != "" && r.class != nil && !r.class.Idempotent && r.class.IdempotencyKey != bundle.KeyNone
+	return r.key != "" && r.class != nil && Keyed(*r.class)
 }
 
 // classify finds the service and class of r and checks its headers. The
@@ -129,7 +133,10 @@
 		return r.notRun(http.StatusBadRequest, fmt.Sprintf("%s is longer than %d bytes", link.HeaderIdempotencyKey, maxKeyLength))
 	}
 	if r.key == "" && r.class.IdempotencyKey == bundle.KeyRequired {
-		return r.notRun(http.StatusBadRequest, fmt.Sprintf("class %q needs an %s, best a UUIDv7", r.class.Name, link.HeaderIdempotencyKey))
+		return r.notRun(http.StatusBadRequest, fmt.Sprintf("class %q needs an %s, a UUIDv7 (RFC 9562)", r.class.Name, link.HeaderIdempotencyKey))
+	}
+	if _, ok := (operation.Key{Value: r.key}).Created(); !ok && r.keyed() {
+		return r.notRun(http.StatusBadRequest, fmt.Sprintf("%s is not a UUIDv7 (RFC 9562)", link.HeaderIdempotencyKey))
 	}
 	if hr.ContentLength > r.class.MaxBody {
 		return r.notRun(http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is larger than the %d bytes of class %q", r.class.MaxBody, r.class.Name))
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -55,6 +55,8 @@
 	// FromOwner reports that the owner of a keyed operation decided the
 	// outcome. Its NotRun covers earlier and delayed requests with the same key.
 	FromOwner bool
+	// Mismatch reports that the key was used before for other content.
+	Mismatch bool
 	// RetryAfter is when a refused call may succeed; 0 if not known.
 	RetryAfter time.Duration
 	// Load is the target's load; Slots is 0 if none was reported.
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -40,6 +40,7 @@
 	headerReason    = "Siskinvale-Reason"
 	headerMisrouted = "Siskinvale-Misrouted"
 	headerFromOwner = "Siskinvale-From-Owner"
+	headerMismatch  = "Siskinvale-Key-Mismatch"
 	headerRetry     = "Siskinvale-Retry-After"
 	headerLoad      = "Siskinvale-Load"
 )
@@ -159,6 +160,9 @@
 	if r.Misrouted {
 		h.Set(headerMisrouted, "1")
 	}
+	if r.Mismatch {
+		h.Set(headerMismatch, "1")
+	}
 	if r.FromOwner {
 		h.Set(headerFromOwner, "1")
 	}
@@ -180,6 +184,7 @@
 		Reason:        h.Get(headerReason),
 		Misrouted:     h.Get(headerMisrouted) != "",
 		FromOwner:     h.Get(headerFromOwner) != "",
+		Mismatch:      h.Get(headerMismatch) != "",
 		RetryAfter:    time.Duration(retry) * time.Millisecond,
 		Load:          parseLoad(h.Get(headerLoad)),
 		Sent:          true,
--- /dev/null
+++ b/internal/node/keyed.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/link"
+	"siskinvale.dev/siskinvale/internal/operation"
+)
+
+// keyedOperations connects the sidecar with the record of operations. It
+// implements sidecar.Operations.
+type keyedOperations struct {
+	manager *operation.Manager
+}
+
+// Do runs a keyed call at most once. The execution does not end when the
+// ingress or its caller goes away, so that a retry can still get the answer;
+// only the call's timeout ends it.
+func (k keyedOperations) Do(ctx context.Context, call *link.Call, run func(ctx context.Context, mayDispatch func() bool) *link.Reply) *link.Reply {
+	body, err := io.ReadAll(call.Body)
+	if err != nil {
+		return link.Refused(call, "the request body could not be read to its end")
+	}
+	request := operation.Request{
+		Key:         operation.Key{Service: call.Service, Tenant: call.Tenant, Value: call.Key},
+		Fingerprint: fingerprint(call, body),
+		ReceivedAt:  call.ReceivedAt,
+	}
+	call.Body, call.ContentLength = bytes.NewReader(body), int64(len(body))
+
+	var last *link.Reply
+	answer, verdict := k.manager.Do(ctx, request, func(ctx context.Context, mayDispatch func() bool) (operation.Answer, operation.Ran) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.Timeout)
+		defer cancel()
+		last = run(ctx, mayDispatch)
+		defer last.Body.Close()
+		return collect(last)
+	})
+	reply := replyOf(call, answer, verdict)
+	if last != nil {
+		reply.Load = last.Load
+		if reply.Outcome != fleet.Answered && last.Reason != "" {
+			reply.Reason = last.Reason
+		}
+	}
+	return reply
+}
+
+// fingerprint identifies the content of a request, so that one key cannot name
+// two different operations.
+func fingerprint(call *link.Call, body []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range [][]byte{[]byte(call.Method), []byte(call.Path), body} {
+		_, _ = d.Write(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// collect reads a reply to its end, because only a whole answer may be kept
+// and repeated.
+func collect(reply *link.Reply) (operation.Answer, operation.Ran) {
+	switch reply.Outcome {
+	case fleet.NotRun:
+		return operation.Answer{}, operation.NotDispatched
+	case fleet.Unknown:
+		return operation.Answer{}, operation.Failed
+	}
+	body, err := io.ReadAll(reply.Body)
+	if err != nil {
+		reply.Reason = "the target's answer was cut short"
+		return operation.Answer{}, operation.Failed
+	}
+	header := make(map[string]string, len(reply.Header))
+	for name := range reply.Header {
+		header[name] = reply.Header.Get(name)
+	}
+	return operation.Answer{Status: reply.Status, Header: header, Body: body}, operation.Answered
+}
+
+// replyOf expresses the owner's verdict as a reply.
+func replyOf(call *link.Call, answer operation.Answer, verdict operation.Verdict) *link.Reply {
+	reply := &link.Reply{
+		AttemptID: call.AttemptID, Outcome: verdict.Outcome(), Reason: verdict.Reason.String(), Sent: true,
+		RetryAfter: verdict.RetryAfter, Body: http.NoBody,
+	}
+	switch verdict.Kind {
+	case operation.NotOwner:
+		reply.Misrouted = true
+	case operation.NotRun, operation.Unknown:
+		reply.FromOwner = true
+	case operation.Mismatch:
+		reply.FromOwner, reply.Mismatch = true, true
+	default:
+		fillAnswer(reply, answer)
+	}
+	return reply
+}
+
+func fillAnswer(reply *link.Reply, answer operation.Answer) {
+	reply.FromOwner, reply.Reason = true, ""
+	reply.Status = answer.Status
+	reply.Header = make(http.Header, len(answer.Header))
+	for name, value := range answer.Header {
+		reply.Header.Set(name, value)
+	}
+	reply.ContentLength = int64(len(answer.Body))
+	reply.Body = io.NopCloser(bytes.NewReader(answer.Body))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,7 +36,7 @@
 	peerKeys     *auth.Keys
 	operatorKeys *auth.Keys
 	verifier     *verifier
-	platform     platform.Client
+	platform     *observedPlatform
 	pool         *link.Pool
 	remote       *link.Remote
 	peers        *peerCalls
@@ -76,7 +76,9 @@
 	if n.verifier, err = newVerifier(s.Trust); err != nil {
 		return nil, err
 	}
-	n.platform = platform.NewHTTP(s.Platform.Address, string(s.Platform.Token), platform.DefaultBudget())
+	n.platform = &observedPlatform{
+		Client: platform.NewHTTP(s.Platform.Address, string(s.Platform.Token), platform.DefaultBudget()),
+	}
 	n.remote = &link.Remote{Self: n.self.ID, Pool: n.pool, Keys: n.peerKeys}
 	n.peers = &peerCalls{node: n}
 	n.operations = operation.NewManager(n.self.ID, n.self.Incarnation, operation.DefaultConfig(),
--- /dev/null
+++ b/internal/node/targets.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"siskinvale.dev/siskinvale/internal/announce"
+	"siskinvale.dev/siskinvale/internal/fleet"
+)
+
+// localTargets is the targets' interface of this node. It implements
+// announce.Local.
+type localTargets struct {
+	control *control
+}
+
+func (l localTargets) Announce(_ context.Context, t fleet.Target, ttl time.Duration) error {
+	return l.step(announce.LocalAnnounced{Target: t, TTL: ttl})
+}
+
+func (l localTargets) Drain(_ context.Context, id fleet.TargetID) error {
+	return l.step(announce.LocalDraining{ID: id})
+}
+
+func (l localTargets) Remove(_ context.Context, id fleet.TargetID) error {
+	return l.step(announce.LocalRemoved{ID: id})
+}
+
+func (l localTargets) step(ev announce.Event) error {
+	var err error
+	l.control.do(func() { err = l.control.stepTargets(ev) })
+	return err
+}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -96,7 +96,7 @@
 		self:     c.members.Self(),
 		nodes:    c.members.Nodes(),
 		verdicts: make(map[fleet.TargetID]health.Verdict, len(c.known)),
-		platform: c.node.platformReachable(),
+		platform: c.node.platform.reachable.Load(),
 	}
 	for id, t := range c.known {
 		s.targets = append(s.targets, t)
--- a/internal/operation/manager.go
+++ b/internal/operation/manager.go
@@ -162,6 +162,12 @@
 	return v.Version, v.Assignment.Epoch
 }
 
+// View returns the assignment of a service that this node knows.
+func (m *Manager) View(service string) (View, bool) {
+	v, ok := (*m.views.Load())[service]
+	return v, ok
+}
+
 // SetMembers replaces the members of a service: all nodes beside a target of
 // it. Lost nodes are left out; leaving nodes and nodes whose targets are all
 // unhealthy or draining have Accepts false.
