--- a/internal/routing/api.go
+++ b/internal/routing/api.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"fmt"
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/fleet"
@@ -67,3 +68,12 @@
 var reasonNames = [...]string{"local", "remote", "probation", "fallback", "slow-start", "held", "ejected", "avoided", "outside-subset", "draining"}
 
 func (r Reason) String() string { return reasonNames[r] }
+
+// String returns the line as it is printed for operators and in logs.
+func (l Line) String() string {
+	s := fmt.Sprintf("%s node=%s data-centre=%s cost=%s %s", l.Target, l.Node, l.DataCentre, l.Cost, l.Reason)
+	if l.Detail != "" {
+		s += ": " + l.Detail
+	}
+	return s
+}
--- /dev/null
+++ b/internal/routing/endpoint.go
@@ -0,0 +1,71 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+)
+
+// Endpoint holds the load figures of one target. It is shared by all
+// generations of the pickers of its service and safe for concurrent use.
+type Endpoint struct {
+	target atomic.Pointer[fleet.Target]
+	// outstanding counts this ingress's attempts that have begun and not ended.
+	outstanding atomic.Int64
+	// load is the last reported load, see packLoad.
+	load atomic.Uint64
+	// reported and failed are Unix nanoseconds of the last report and of the
+	// last failed attempt.
+	reported, failed atomic.Int64
+}
+
+// Target returns the target's current record.
+func (e *Endpoint) Target() fleet.Target { return *e.target.Load() }
+
+// Outstanding returns how many attempts of this ingress have not ended.
+func (e *Endpoint) Outstanding() int { return int(e.outstanding.Load()) }
+
+// Begin counts an attempt that is about to be sent to the target.
+func (e *Endpoint) Begin() { e.outstanding.Add(1) }
+
+// End ends an attempt. ok says that the target's node answered, with load as
+// the figures carried back on the answer. A failed attempt makes the target
+// less attractive for FailureMemory, because a target that fails quickly would
+// otherwise look idle and attract traffic until health ejects it.
+func (e *Endpoint) End(load fleet.Load, ok bool, now time.Time) {
+	own := e.outstanding.Add(-1)
+	if !ok {
+		e.failed.Store(now.UnixNano())
+		return
+	}
+	e.load.Store(packLoad(load, own))
+	e.reported.Store(now.UnixNano())
+}
+
+// The load word: requests at the target (16 bits), own outstanding attempts at
+// the time of the report (16 bits), expected work in microseconds (32 bits).
+const max16, max32 = 1<<16 - 1, 1<<32 - 1
+
+func packLoad(l fleet.Load, own int64) uint64 {
+	busy := min(uint64(max(l.InFlight+l.Queued, 0)), max16)
+	work := min(uint64(max(l.QueuedWork.Microseconds(), 0)), max32)
+	return busy<<48 | min(uint64(max(own, 0)), max16)<<32 | work
+}
+
+// estimate returns how many requests are at the target and the mean run time of
+// one of them in nanoseconds. The report already contains the attempts that
+// were outstanding when it was made, so only the difference is added.
+func (e *Endpoint) estimate(now int64) (requests, perRequest int64) {
+	own := e.outstanding.Load()
+	perRequest = int64(DefaultRunTime)
+	if now-e.reported.Load() >= int64(LoadMaxAge) {
+		return own, perRequest
+	}
+	w := e.load.Load()
+	busy, then, work := int64(w>>48), int64(w>>32&max16), int64(w&max32)
+	if busy > 0 && work > 0 {
+		perRequest = work * 1000 / busy
+	}
+	return max(own, busy+own-then), perRequest
+}
