--- /dev/null
+++ b/internal/standin/body.go
@@ -0,0 +1,73 @@
+package standin
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// bodyPattern is the text that fills an answer's body. It names the request
+// and a hash of the request's body, so that a caller notices an answer that
+// belongs to another request.
+func bodyPattern(method, uri, key string, requestBody uint64) []byte {
+	return fmt.Appendf(nil, "%s %s key=%q body=%016x\n", method, uri, key, requestBody)
+}
+
+// BodyHash is the hash that an answer states of the request's body.
+func BodyHash(body []byte) uint64 { return xxhash.Sum64(body) }
+
+// patternReader repeats a pattern up to size bytes, or writes it once when the
+// size is 0.
+type patternReader struct {
+	pattern []byte
+	offset  int
+	size    int
+}
+
+func newPatternReader(pattern []byte, size int) *patternReader {
+	if size == 0 {
+		size = len(pattern)
+	}
+	return &patternReader{pattern: pattern, size: size}
+}
+
+func (r *patternReader) Read(p []byte) (int, error) {
+	if r.offset >= r.size {
+		return 0, io.EOF
+	}
+	n := 0
+	for n < len(p) && r.offset < r.size {
+		from := r.offset % len(r.pattern)
+		m := copy(p[n:min(len(p), n+r.size-r.offset)], r.pattern[from:])
+		n, r.offset = n+m, r.offset+m
+	}
+	return n, nil
+}
+
+// CheckBody reads a target's whole answer and compares it with the expected
+// one. uri is the path with its query; a size of 0 means the pattern once.
+func CheckBody(answer io.Reader, method, uri, key string, requestBody []byte, size int) error {
+	want := newPatternReader(bodyPattern(method, uri, key, BodyHash(requestBody)), size)
+	got, expected := make([]byte, 32<<10), make([]byte, 32<<10)
+	at := 0
+	for {
+		n, err := io.ReadFull(answer, got)
+		m, _ := io.ReadFull(want, expected)
+		if !bytes.Equal(got[:n], expected[:m]) {
+			return fmt.Errorf("answer to %s %s differs from the expected body at or after byte %d: got %q, want %q",
+				method, uri, at, shorten(got[:n]), shorten(expected[:m]))
+		}
+		at += n
+		switch err {
+		case nil:
+		case io.EOF, io.ErrUnexpectedEOF:
+			return nil
+		default:
+			return fmt.Errorf("answer to %s %s broke at byte %d: %w", method, uri, at, err)
+		}
+	}
+}
+
+func shorten(b []byte) []byte { return b[:min(len(b), 120)] }
--- /dev/null
+++ b/internal/standin/silent.go
@@ -0,0 +1,101 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// silentListener can make its open connections silent: they stay open, but
+// nothing that arrives on them is seen and nothing is sent.
+type silentListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns map[*silentConn]struct{}
+}
+
+type silentConn struct {
+	net.Conn
+	listener *silentListener
+	silent   atomic.Bool
+}
+
+type connKey struct{}
+
+func newSilentListener(l net.Listener) *silentListener {
+	return &silentListener{Listener: l, conns: map[*silentConn]struct{}{}}
+}
+
+func (l *silentListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &silentConn{Conn: conn, listener: l}
+	l.mu.Lock()
+	l.conns[c] = struct{}{}
+	l.mu.Unlock()
+	return c, nil
+}
+
+// silence makes all open connections silent except the given one.
+func (l *silentListener) silence(except net.Conn) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for c := range l.conns {
+		if net.Conn(c) != except && !c.silent.Swap(true) {
+			n++
+		}
+	}
+	return n
+}
+
+// withConn is for http.Server.ConnContext.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+func connOf(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return c
+}
+
+// Read discards what arrives after the connection became silent and returns
+// only when the other side closes it.
+func (c *silentConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil && c.silent.Load() {
+			c.release()
+			return 0, err
+		}
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+func (c *silentConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *silentConn) Close() error {
+	// A silent connection stays open until the other side closes it, as far
+	// as the other side can see.
+	if c.silent.Load() {
+		return nil
+	}
+	return c.release()
+}
+
+func (c *silentConn) release() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
