--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -97,7 +97,7 @@
 		told := caller.Do(context.Background(), hold(), 0, refusing, mixedUp, silent, fine)
 		Expect(told.Attempts).To(HaveLen(4))
 		Expect(told.Attempts[0].Outcome).To(Equal(fleet.NotRun))
-		Expect(told.Attempts[1].Err).To(MatchError(ContainSubstring("differs from the expected body")))
+		Expect(told.Attempts[1].Err).To(MatchError(standin.ErrWrongBody))
 		Expect(told.Attempts[2].Err).To(MatchError(load.ErrNoOutcome))
 		Expect(told.Sample()).To(Equal(load.Sample{Kind: "holds", Outcome: fleet.Answered}))
 		Expect(attempts).To(Equal([]string{"1", "", ""}))
--- /dev/null
+++ b/internal/processtest/doc.go
@@ -0,0 +1,8 @@
+// Package processtest runs a fleet as real processes on loopback, for the
+// demo, for process-level failure tests and for benchmarks.
+//
+// Each fleet uses a loopback network of its own (127.N.0.0/16) and each node an
+// address of its own in it, so that ports are fixed and cannot collide. All
+// processes get SIGKILL from the kernel when the process that started them
+// ends, however it ends.
+package processtest
--- a/internal/standin/body.go
+++ b/internal/standin/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 
@@ -46,28 +47,47 @@
 	return n, nil
 }
 
+// ErrWrongBody means that an answer is not the complete answer to its request
+// although it arrived without an error.
+var ErrWrongBody = errors.New("wrong body")
+
 // CheckBody reads a target's whole answer and compares it with the expected
-// one. uri is the path with its query; a size of 0 means the pattern once.
+// one. uri is the path with its query; a size of 0 means the pattern once. The
+// error wraps ErrWrongBody unless the answer visibly broke and was right until
+// then.
 func CheckBody(answer io.Reader, method, uri, key string, requestBody []byte, size int) error {
 	want := newPatternReader(bodyPattern(method, uri, key, BodyHash(requestBody)), size)
-	got, expected := make([]byte, 32<<10), make([]byte, 32<<10)
-	at := 0
-	for {
-		n, err := io.ReadFull(answer, got)
-		m, _ := io.ReadFull(want, expected)
-		if !bytes.Equal(got[:n], expected[:m]) {
-			return fmt.Errorf("answer to %s %s differs from the expected body at or after byte %d: got %q, want %q",
-				method, uri, at, shorten(got[:n]), shorten(expected[:m]))
+	got, expected := make([]byte, chunkSize), make([]byte, chunkSize)
+	for at := 0; ; at = want.offset {
+		n, err := fill(answer, got)
+		m, _ := fill(want, expected)
+		broke := err != nil && err != io.EOF
+		if broke {
+			m = min(m, n)
 		}
-		at += n
-		switch err {
-		case nil:
-		case io.EOF, io.ErrUnexpectedEOF:
+		switch ended := err == io.EOF; {
+		case !bytes.Equal(got[:n], expected[:m]):
+			return fmt.Errorf("%w: answer to %s %s differs at or after byte %d: got %q, want %q",
+				ErrWrongBody, method, uri, at, shorten(got[:n]), shorten(expected[:m]))
+		case broke:
+			return fmt.Errorf("answer to %s %s broke at byte %d: %w", method, uri, at+n, err)
+		case ended && want.offset < want.size:
+			return fmt.Errorf("%w: answer to %s %s ends at byte %d of %d", ErrWrongBody, method, uri, at+n, want.size)
+		case ended:
 			return nil
-		default:
-			return fmt.Errorf("answer to %s %s broke at byte %d: %w", method, uri, at, err)
 		}
 	}
 }
 
+// fill reads until p is full. Unlike io.ReadFull it returns the reader's own
+// error, which tells a broken answer from a short one.
+func fill(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var m int
+		m, err = r.Read(p[n:])
+		n += m
+	}
+	return n, err
+}
+
 func shorten(b []byte) []byte { return b[:min(len(b), 120)] }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -197,7 +198,12 @@
 		Expect(standin.CheckBody(strings.NewReader(got.body), "POST", "/holds?n=1", "k", []byte("lent"), 0)).NotTo(Succeed())
 		pack := call("GET", base+"/packs/7", "").body
 		Expect(standin.CheckBody(strings.NewReader(pack), "GET", "/packs/7", "", nil, 100_000)).To(Succeed())
-		Expect(standin.CheckBody(strings.NewReader(pack[:99_999]), "GET", "/packs/7", "", nil, 100_000)).NotTo(Succeed())
+		for _, short := range []int{0, 32 << 10, 99_999} {
+			check := func(answer io.Reader) error { return standin.CheckBody(answer, "GET", "/packs/7", "", nil, 100_000) }
+			Expect(check(strings.NewReader(pack[:short]))).To(MatchError(standin.ErrWrongBody), "ended early at %d", short)
+			broken := check(io.MultiReader(strings.NewReader(pack[:short]), iotest.ErrReader(io.ErrUnexpectedEOF)))
+			Expect(broken).To(And(MatchError(io.ErrUnexpectedEOF), Not(MatchError(standin.ErrWrongBody))), "broke at %d", short)
+		}
 		Expect(operations()).To(HaveLen(2))
 		Expect(operations()[0]).To(And(HaveField("Key", "k"), HaveField("Path", "/holds"), HaveField("Completed", true)))
 	})
