Add path overhead benchmark and the measuring program

The bound on added latency needs a measurement over real processes, and the figures of all benchmarks need one page that states which bounds are met.

BenchmarkPathOverhead sends direct and forwarded calls in turn at 300 requests/s each. internal/measure runs all benchmarks, judges them by the bounds of the design page and rewrites only its own sections of docs/MEASUREMENTS.md.

Result: the tests of internal/measure pass with the race detector. The benchmark skips until the node's command exists; no figure has been measured.

--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -75,7 +75,10 @@
 	// Timeout bounds one attempt and is stated in Siskinvale-Timeout; 0 for
 	// none.
 	Timeout time.Duration
-	client  *http.Client
+	// Direct is set for calls straight to a target, whose answers state no
+	// outcome.
+	Direct bool
+	client *http.Client
 
 	mu      sync.Mutex
 	history []Told
@@ -171,6 +174,9 @@
 	}
 	defer answer.Body.Close()
 	raw := answer.Header.Get("Siskinvale-Outcome")
+	if c.Direct {
+		raw = fleet.Answered.String()
+	}
 	if raw == "" {
 		return answer.StatusCode, fleet.Unknown, fmt.Errorf("%w: %s %s: %s", ErrNoOutcome, r.Method, r.URI, answer.Status)
 	}
--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+)
+
+func TestMeasure(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "measure")
+}
+
+const output = `goos: linux
+pkg: siskinvale.dev/siskinvale/internal/pathbench
+BenchmarkPathOverhead/forwarded-10         	       1	10000000000 ns/op	         0.350 added-p50-ms	         2.5 added-p99-ms
+BenchmarkPathOverhead/local-10             	       1	10000000000 ns/op	         0.200 added-p50-ms
+PASS
+pkg: siskinvale.dev/siskinvale/internal/health
+--- FAIL: BenchmarkDetection/flapping-10
+FAIL
+pkg: siskinvale.dev/siskinvale/internal/routing
+BenchmarkPick-10          	  200000	       123 ns/op	       0 B/op	       1 allocs/op
+`
+
+var now = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// Guards against figures that lose their bound, their case or their unit.
+func TestDocument(t *testing.T) {
+	results := parse(output, 10)
+	for i := range results {
+		results[i].benchtime = "1x"
+	}
+	goldie.New(t).Assert(t, "measurements", []byte(merge("", "Measured on 10 cores.\n", tables(results, now))))
+}
+
+var _ = Describe("merge", func() {
+	// Guards against a run that removes hand-written notes or the tables of
+	// benchmarks that were not run.
+	It("keeps notes and other tables and replaces its own", func() {
+		first := merge("", "a\n", tables(parse(output, 10), now))
+		noted := first + "\nA note with $1.\n"
+		again := merge(noted, "b\n", tables([]result{{benchmark: "BenchmarkPick", metrics: []metric{{"ns/op", 5}}}}, now))
+		Expect(again).To(ContainSubstring("A note with $1."))
+		Expect(again).To(ContainSubstring("<!-- begin machine -->\nb\n<!-- end machine -->"))
+		Expect(again).To(ContainSubstring("| forwarded | added-p99-ms | 2.5 | at most 2 | missed |"))
+		Expect(again).To(ContainSubstring("| - | ns/op | 5 | at most 1000 | met |"))
+		Expect(again).NotTo(ContainSubstring("| - | ns/op | 123 |"))
+	})
+})
--- /dev/null
+++ b/internal/measure/parse.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// result is one line of benchmark output.
+type result struct {
+	pkg       string
+	benchmark string // without its case
+	name      string // the case, empty for the benchmark itself
+	benchtime string
+	metrics   []metric
+	failed    bool
+}
+
+// metric is one figure as testing.B reports it.
+type metric struct {
+	unit  string
+	value float64
+}
+
+// parse reads the output of go test -bench. procs is the suffix that the
+// testing package adds to names.
+func parse(output string, procs int) []result {
+	var results []result
+	pkg := ""
+	suffix := ""
+	if procs != 1 {
+		suffix = fmt.Sprintf("-%d", procs)
+	}
+	for line := range strings.Lines(output) {
+		fields := strings.Fields(line)
+		switch {
+		case len(fields) == 2 && fields[0] == "pkg:":
+			pkg = fields[1]
+		case len(fields) >= 3 && fields[0] == "---" && fields[1] == "FAIL:":
+			name, sub, _ := strings.Cut(strings.TrimSuffix(fields[2], suffix), "/")
+			results = append(results, result{pkg: pkg, benchmark: name, name: sub, failed: true})
+		case len(fields) >= 4 && strings.HasPrefix(fields[0], "Benchmark"):
+			if _, err := strconv.Atoi(fields[1]); err != nil {
+				continue
+			}
+			name, sub, _ := strings.Cut(strings.TrimSuffix(fields[0], suffix), "/")
+			results = append(results, result{pkg: pkg, benchmark: name, name: sub, metrics: pairs(fields[2:])})
+		}
+	}
+	return results
+}
+
+func pairs(fields []string) []metric {
+	var metrics []metric
+	for i := 0; i+1 < len(fields); i += 2 {
+		value, err := strconv.ParseFloat(fields[i], 64)
+		if err != nil {
+			break
+		}
+		metrics = append(metrics, metric{unit: fields[i+1], value: value})
+	}
+	return metrics
+}
--- /dev/null
+++ b/internal/pathbench/pathbench_test.go
@@ -0,0 +1,115 @@
+package pathbench
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"siskinvale.dev/siskinvale/internal/load"
+	"siskinvale.dev/siskinvale/internal/processtest"
+)
+
+const (
+	// callsPerSecond through one node, as the bound of the design page states.
+	callsPerSecond = 300
+	// runFor gives 3,000 calls of each kind, so that 30 calls are above p99.
+	runFor = 10 * time.Second
+	// warmFor opens connections and lets caches and slow start settle.
+	warmFor = 2 * time.Second
+	// work is short, so that its jitter does not hide the added latency.
+	work = time.Microsecond
+	// mallocs is the node's counter of heap allocations.
+	mallocs = "go_memstats_mallocs_total"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	processtest.RemoveBinaries()
+	os.Exit(code)
+}
+
+// BenchmarkPathOverhead compares calls to a target with calls to the same
+// target through the fleet, in turn within one run. "forwarded" passes an
+// ingress and the sidecar of another node; "local" passes one node.
+func BenchmarkPathOverhead(b *testing.B) {
+	for _, binary := range []string{processtest.NodeBinary, processtest.ControlBinary} {
+		if !processtest.Exists(binary) {
+			b.Skipf("cmd/%s does not exist", binary)
+		}
+	}
+	b.Run("forwarded", func(b *testing.B) { overhead(b, 2) })
+	b.Run("local", func(b *testing.B) { overhead(b, 1) })
+}
+
+func overhead(b *testing.B, nodes int) {
+	f := processtest.Start(b, processtest.Config{
+		NodesPerDataCentre: nodes, Bundle: "examples/magnolia.yaml", TargetsOnLastOnly: true, Work: work, LogLevel: "warn",
+	})
+	kind, ok := f.Kind(func(k processtest.Kind) bool { return !k.Keyed && !k.Long })
+	if !ok {
+		b.Fatal("the bundle has no class of short idempotent work")
+	}
+	var target *processtest.Target
+	for _, t := range f.Targets {
+		if t.Service == kind.Service {
+			target = t
+		}
+	}
+	direct, through := load.NewCaller("bench", 2*time.Second), load.NewCaller("bench", 2*time.Second)
+	direct.Direct = true
+	defer direct.Close()
+	defer through.Close()
+	call := func(_ context.Context, n int) load.Sample {
+		caller, url, name := direct, target.URL, "direct"
+		if n%2 == 1 {
+			caller, url, name = through, f.Nodes[0].URL, "through"
+		}
+		request := kind.Request(n)
+		request.Kind = name
+		return caller.Do(context.Background(), request, 0, url).Sample()
+	}
+	load.Open(context.Background(), 2*callsPerSecond, warmFor, call)
+	before := allocations(f.Nodes)
+	b.ResetTimer()
+	for range b.N {
+		report := load.Open(context.Background(), 2*callsPerSecond, runFor, call)
+		d, t := report.Kind("direct"), report.Kind("through")
+		if bad := d.Calls - d.Answered + t.Calls - t.Answered; bad > 0 {
+			b.Errorf("%d calls were not answered; first errors: %v, %v", bad, d.FirstError, t.FirstError)
+		}
+		ms := func(k *load.Kind, p float64) float64 { return float64(k.Percentile(p).Microseconds()) / 1000 }
+		b.ReportMetric(ms(d, 50), "direct-p50-ms")
+		b.ReportMetric(ms(d, 99), "direct-p99-ms")
+		b.ReportMetric(ms(t, 50)-ms(d, 50), "added-p50-ms")
+		b.ReportMetric(ms(t, 99)-ms(d, 99), "added-p99-ms")
+	}
+	b.StopTimer()
+	if before > 0 {
+		calls := float64(b.N) * callsPerSecond * runFor.Seconds()
+		b.ReportMetric((allocations(f.Nodes)-before)/calls, "allocs/request")
+	}
+}
+
+// allocations sums the heap allocations of all nodes, background work
+// included; 0 when the nodes do not report them.
+func allocations(nodes []*processtest.Node) (sum float64) {
+	for _, n := range nodes {
+		answer, err := http.Get("http://" + n.Operators + "/metrics")
+		if err != nil {
+			return 0
+		}
+		for lines := bufio.NewScanner(answer.Body); lines.Scan(); {
+			if value, ok := strings.CutPrefix(lines.Text(), mallocs+" "); ok {
+				count, _ := strconv.ParseFloat(value, 64)
+				sum += count
+			}
+		}
+		answer.Body.Close()
+	}
+	return sum
+}
--- a/internal/processtest/fleet.go
+++ b/internal/processtest/fleet.go
@@ -51,6 +51,9 @@
 	// TargetsPerNode is the number of targets of each service beside each
 	// node, 1 when 0.
 	TargetsPerNode int
+	// TargetsOnLastOnly starts targets beside the last node alone, so that
+	// calls through other nodes are forwarded.
+	TargetsOnLastOnly bool
 	// Work is the run time of short work, 4 ms when 0. Long work takes 50
 	// times as long.
 	Work time.Duration
@@ -297,7 +300,11 @@
 			services = append(services, kind.Service)
 		}
 	}
-	for _, n := range f.Nodes {
+	nodes := f.Nodes
+	if f.cfg.TargetsOnLastOnly {
+		nodes = nodes[len(nodes)-1:]
+	}
+	for _, n := range nodes {
 		number := 0
 		for _, service := range services {
 			for range f.cfg.TargetsPerNode {
