--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -182,3 +182,6 @@
 	n.metrics.Gauge("siskinvale_answers_mismatched", func() float64 { return float64(n.remote.Mismatched.Load()) })
 	n.metrics.Gauge("siskinvale_control_lag_seconds", func() float64 { return n.control.lag().Seconds() })
 }
+
+// BundleVersion returns the bundle version in force on this node, 0 for none.
+func (n *Node) BundleVersion() uint64 { return n.control.version.Load() }
