Make short waits of load and stand-ins precise

Go timers of an idle process fire up to a millisecond late, because the network poller waits in whole milliseconds. A benchmark of added latency below a millisecond cannot use them.

OpenPrecise and the target's work below a millisecond end with the kernel's high-resolution sleep.

--- a/internal/load/loop.go
+++ b/internal/load/loop.go
@@ -19,6 +19,17 @@
 // is counted from the scheduled start, so that a slow fleet cannot hide its
 // delay by slowing its callers down.
 func Open(ctx context.Context, perSecond float64, duration time.Duration, call Call) *Report {
+	return open(ctx, perSecond, duration, call, wait)
+}
+
+// OpenPrecise is Open with start times that are exact to about 0.1 ms, for
+// benchmarks of latencies below a millisecond. It does not work with virtual
+// time.
+func OpenPrecise(ctx context.Context, perSecond float64, duration time.Duration, call Call) *Report {
+	return open(ctx, perSecond, duration, call, preciseWait)
+}
+
+func open(ctx context.Context, perSecond float64, duration time.Duration, call Call, wait func(context.Context, time.Duration) bool) *Report {
 	report := NewReport()
 	interval := time.Duration(float64(time.Second) / perSecond)
 	tokens := make(chan struct{}, maxOutstanding)
--- a/internal/pathbench/pathbench_test.go
+++ b/internal/pathbench/pathbench_test.go
@@ -73,11 +73,11 @@
 		request.Kind = name
 		return caller.Do(context.Background(), request, 0, url).Sample()
 	}
-	load.Open(context.Background(), 2*callsPerSecond, warmFor, call)
+	load.OpenPrecise(context.Background(), 2*callsPerSecond, warmFor, call)
 	before := allocations(f.Nodes)
 	b.ResetTimer()
 	for range b.N {
-		report := load.Open(context.Background(), 2*callsPerSecond, runFor, call)
+		report := load.OpenPrecise(context.Background(), 2*callsPerSecond, runFor, call)
 		d, t := report.Kind("direct"), report.Kind("through")
 		if bad := d.Calls - d.Answered + t.Calls - t.Answered; bad > 0 {
 			b.Errorf("%d calls were not answered; first errors: %v, %v", bad, d.FirstError, t.FirstError)
--- a/internal/processtest/fleet.go
+++ b/internal/processtest/fleet.go
@@ -410,7 +410,7 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("%s does not answer %s: outcome %v, status %d, %w; end of its log:\n%s",
+	return fmt.Errorf("%s does not answer %s: outcome %v, status %d, error %v; end of its log:\n%s",
 		n.ID, kind.Name(), last.Outcome, last.Status, last.Err, n.LogTail())
 }
 
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"crypto/subtle"
 	"errors"
 	"fmt"
@@ -217,7 +216,7 @@
 		}
 		half := time.Duration(p.faults.get().Delay) / 2
 		// A write takes effect even when its client has stopped waiting.
-		sleep(context.WithoutCancel(c.Request().Context()), half)
+		time.Sleep(half)
 		return next(c)
 	}
 }
@@ -227,21 +226,6 @@
 	return echo.NewHTTPError(http.StatusServiceUnavailable, "the platform is unavailable")
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func objectKey(c echo.Context) string {
 	return strings.TrimPrefix(c.Request().URL.Path, "/v1/objects/")
 }
