--- /dev/null
+++ b/internal/event/event_test.go
@@ -0,0 +1,76 @@
+package event_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinvale.dev/siskinvale/internal/event"
+)
+
+func TestEvent(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "event")
+}
+
+const docs = "../../docs"
+
+var _ = Describe("Catalogue", func() {
+	// Guards against events that operators cannot look up.
+	It("equals docs/events.md", func() {
+		file := filepath.Join(docs, "events.md")
+		if os.Getenv("SISKINVALE_UPDATE") == "1" {
+			Expect(os.WriteFile(file, []byte(event.Markdown()), 0o644)).To(Succeed())
+		}
+		content, err := os.ReadFile(file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(content)).To(Equal(event.Markdown()), "run the test with SISKINVALE_UPDATE=1")
+	})
+
+	It("has names that are used once and numbers in a known group", func() {
+		names := make(map[string]int)
+		for _, e := range event.All() {
+			Expect(names).NotTo(HaveKey(e.Name))
+			names[e.Name] = e.Number
+			Expect(e.Number).To(And(BeNumerically(">=", 1000), BeNumerically("<", 7000)))
+			Expect(e.Message).NotTo(BeEmpty())
+		}
+	})
+
+	// Guards against an alarm at night without instructions.
+	It("has a page with instructions for each alarm, and no page without an alarm", func() {
+		want := make(map[string]bool)
+		for _, e := range event.All() {
+			if !e.Alarm {
+				continue
+			}
+			want[e.AlarmPage()] = true
+			content, err := os.ReadFile(filepath.Join(docs, "operations", e.AlarmPage()))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(content)).To(HavePrefix(fmt.Sprintf("# Alarm %d: %s\n", e.Number, e.Name)))
+			checkSections(e, string(content))
+		}
+		pages, err := filepath.Glob(filepath.Join(docs, "operations", "alarm-*.md"))
+		Expect(err).NotTo(HaveOccurred())
+		for _, page := range pages {
+			Expect(want).To(HaveKey(filepath.Base(page)))
+		}
+	})
+})
+
+// checkSections requires each section once, in order and with text.
+func checkSections(e event.Event, content string) {
+	GinkgoHelper()
+	sections := strings.Split(content, "\n## ")[1:]
+	Expect(sections).To(HaveLen(3), e.Name)
+	for i, title := range []string{"What it means", "What to check", "What to do"} {
+		text, ok := strings.CutPrefix(sections[i], title+"\n")
+		Expect(ok).To(BeTrue(), "%s: section %q", e.Name, title)
+		Expect(strings.TrimSpace(text)).NotTo(BeEmpty(), "%s: section %q", e.Name, title)
+	}
+}
