Add the operators' command line

Operators had no way to check, sign and roll out bundles or to look at nodes. siskinvalectl does this with exit codes for scripts and tables or JSON as output. A rollout creates pieces and the version's envelope before it updates bundle/active conditionally, and settles lost answers by reading back. Tests run two racing operators at every call and with random faults: exactly one wins, and the other one is told the winner's version and signers.

--- a/internal/bundle/envelope.go
+++ b/internal/bundle/envelope.go
@@ -180,3 +180,14 @@
 	}
 	return &e, nil
 }
+
+// SignedBy reports whether the signature of a role was made with a key.
+func (e *Envelope) SignedBy(role string, key ed25519.PublicKey) bool {
+	message, err := e.Manifest.message(role)
+	if err != nil {
+		return false
+	}
+	return slices.ContainsFunc(e.Signatures, func(s Signature) bool {
+		return s.Role == role && ed25519.Verify(key, message, s.Value)
+	})
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,503 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+
+	"siskinvale.dev/siskinvale/internal/auth"
+	"siskinvale.dev/siskinvale/internal/bundle"
+	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
+	"siskinvale.dev/siskinvale/internal/control/v1/controlv1connect"
+)
+
+func TestCtl(t *testing.T) {
+	// A fixed seed gives the same schedules on every run.
+	if err := flag.Set("rapid.seed", "20260402"); err != nil {
+		t.Fatal(err)
+	}
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ctl")
+}
+
+// fakeStore is a platform in memory. Before each call, fault may replace the
+// call's result; the write of a lost answer takes effect.
+type fakeStore struct {
+	objects map[string]Object
+	version uint64
+	fault   func(call, key string) fault
+	history []uint64 // versions of bundle/active in order
+}
+
+type fault int
+
+const (
+	none fault = iota
+	away
+	lostRequest
+	lostAnswer
+)
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{objects: make(map[string]Object), fault: func(string, string) fault { return none }}
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (Object, error) {
+	if s.fault("get", key) != none {
+		return Object{}, ErrUnavailable
+	}
+	object, ok := s.objects[key]
+	if !ok {
+		return Object{}, ErrNotFound
+	}
+	return object, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, key string, value []byte, ifVersion uint64) (Object, error) {
+	f := s.fault("put", key)
+	switch {
+	case f == away:
+		return Object{}, ErrUnavailable
+	case f == lostRequest:
+		return Object{}, ErrUncertain
+	case s.objects[key].Version != ifVersion:
+		if f == lostAnswer {
+			return Object{}, ErrUncertain
+		}
+		return Object{}, ErrConflict
+	}
+	s.version++
+	s.objects[key] = Object{Key: key, Version: s.version, Value: bytes.Clone(value)}
+	if key == activeKey {
+		e, err := bundle.DecodeEnvelope(value)
+		Expect(err).NotTo(HaveOccurred())
+		s.history = append(s.history, e.Manifest.Version)
+	}
+	if f == lostAnswer {
+		return Object{}, ErrUncertain
+	}
+	return s.objects[key], nil
+}
+
+// operator runs commands in a directory against fakes. Time passes only while
+// a command sleeps.
+type operator struct {
+	dir    string
+	store  *fakeStore
+	node   controlv1connect.OperatorServiceClient
+	now    time.Time
+	stdout bytes.Buffer
+	stderr bytes.Buffer
+}
+
+func newOperator(store *fakeStore) *operator {
+	return &operator{dir: GinkgoT().TempDir(), store: store, now: time.Unix(1_800_000_000, 0)}
+}
+
+func (o *operator) env() Env {
+	return Env{
+		Context: context.Background(), Stdout: &o.stdout, Stderr: &o.stderr, HTTP: http.DefaultClient,
+		OpenStore: func(string, string) (Store, error) { return o.store, nil },
+		Now:       func() time.Time { return o.now },
+		Sleep:     func(_ context.Context, d time.Duration) error { o.now = o.now.Add(d); return nil },
+	}
+}
+
+func (o *operator) run(args ...string) int {
+	o.stdout.Reset()
+	o.stderr.Reset()
+	return run(&app{Env: o.env(), node: o.node}, append([]string{"--platform", "platform:1"}, args...))
+}
+
+func (o *operator) path(name string) string { return filepath.Join(o.dir, name) }
+
+// must runs a command that has to succeed.
+func (o *operator) must(args ...string) {
+	GinkgoHelper()
+	Expect(o.run(args...)).To(Equal(ExitOK), "%v: %s", args, o.stderr.String())
+}
+
+// prepare writes the example with a version and a floor and has it signed.
+func (o *operator) prepare(version, floor int, author, approver string) {
+	GinkgoHelper()
+	content, err := os.ReadFile("../../examples/regie.yaml")
+	Expect(err).NotTo(HaveOccurred())
+	text := strings.Replace(string(content), "version: 1\n", fmt.Sprintf("version: %d\n", version), 1)
+	text = strings.Replace(text, "floor: 6", fmt.Sprintf("floor: %d", floor), 1)
+	Expect(os.WriteFile(o.path("bundle.yaml"), []byte(text), 0o644)).To(Succeed())
+	for role, id := range map[string]string{"author": author, "approver": approver} {
+		if _, err := os.Stat(o.path(id + ".pem")); err != nil {
+			o.must("keys", "new", "--id", id, "--role", role, "--out", o.path(id))
+		}
+	}
+	o.must("bundle", "sign", o.path("bundle.yaml"), "--key", o.path(author+".pem"), "--out", o.path("envelope"))
+	o.must("bundle", "approve", o.path("envelope"), "--key", o.path(approver+".pem"), "--file", o.path("bundle.yaml"))
+}
+
+func (o *operator) rollout(args ...string) int {
+	return o.run(append([]string{"bundle", "rollout", o.path("bundle.yaml"), o.path("envelope"), "--no-wait"}, args...)...)
+}
+
+var _ = Describe("keys and signatures", func() {
+	It("creates keys that only their owner can read and never overwrites them", func() {
+		o := newOperator(newFakeStore())
+		o.must("keys", "new", "--id", "ada", "--role", "author", "--out", o.path("ada"))
+		info, err := os.Stat(o.path("ada.pem"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(info.Mode().Perm()).To(Equal(os.FileMode(0o600)))
+		id, public, _ := strings.Cut(strings.TrimSpace(o.stdout.String()), ": ")
+		Expect(id).To(Equal("ada"))
+		key, err := readKey(o.path("ada.pem"), bundle.RoleAuthor)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bundle.DecodePublicKey(public)).To(Equal(key.Public()))
+		Expect(o.run("keys", "new", "--id", "ada", "--role", "author", "--out", o.path("ada"))).To(Equal(ExitUsage))
+	})
+
+	// Guards against one person who fills both roles.
+	It("refuses wrong roles, unlisted signers and the author as approver", func() {
+		o := newOperator(newFakeStore())
+		o.prepare(1, 6, "regie-author-1", "regie-approver-1")
+		Expect(o.run("bundle", "sign", o.path("bundle.yaml"), "--key", o.path("regie-approver-1.pem"), "--out", o.path("x"))).To(Equal(ExitRefused))
+		o.must("keys", "new", "--id", "eve", "--role", "author", "--out", o.path("eve"))
+		Expect(o.run("bundle", "sign", o.path("bundle.yaml"), "--key", o.path("eve.pem"), "--out", o.path("x"))).To(Equal(ExitRefused))
+		Expect(o.stderr.String()).To(ContainSubstring(`does not list "eve"`))
+
+		data, err := os.ReadFile(o.path("regie-author-1.pem"))
+		Expect(err).NotTo(HaveOccurred())
+		same := strings.NewReplacer("regie-author-1", "regie-approver-2", "Role: author", "Role: approver").Replace(string(data))
+		Expect(os.WriteFile(o.path("same.pem"), []byte(same), 0o600)).To(Succeed())
+		Expect(o.run("bundle", "approve", o.path("envelope"), "--key", o.path("same.pem"))).To(Equal(ExitRefused))
+		Expect(o.stderr.String()).To(ContainSubstring("different key"))
+	})
+
+	It("checks signatures against the keyring and content against the envelope", func() {
+		o := newOperator(newFakeStore())
+		o.prepare(1, 6, "regie-author-1", "regie-approver-1")
+		author, err := readKey(o.path("regie-author-1.pem"), bundle.RoleAuthor)
+		Expect(err).NotTo(HaveOccurred())
+		ring := fmt.Sprintf("authors:\n  regie-author-1: %s\napprovers: {}\n", bundle.EncodePublicKey(author.Public()))
+		Expect(os.WriteFile(o.path("ring"), []byte(ring), 0o644)).To(Succeed())
+		Expect(o.rollout("--keyring", o.path("ring"))).To(Equal(ExitRefused))
+		Expect(o.stderr.String()).To(ContainSubstring(`no approver key "regie-approver-1"`))
+
+		Expect(os.Rename(o.path("envelope"), o.path("old"))).To(Succeed())
+		o.prepare(1, 7, "regie-author-1", "regie-approver-1")
+		Expect(os.Rename(o.path("old"), o.path("envelope"))).To(Succeed())
+		Expect(o.rollout()).To(Equal(ExitRefused))
+		Expect(o.stderr.String()).To(ContainSubstring("is not the bundle that was signed"))
+		Expect(o.store.objects).To(BeEmpty())
+	})
+})
+
+var _ = Describe("bundle rollout", func() {
+	var store *fakeStore
+	var ada, bob *operator
+	BeforeEach(func() {
+		store = newFakeStore()
+		ada, bob = newOperator(store), newOperator(store)
+		ada.prepare(1, 6, "regie-author-1", "regie-approver-1")
+		Expect(ada.rollout()).To(Equal(ExitOK))
+		ada.prepare(2, 7, "regie-author-1", "regie-approver-1")
+		bob.prepare(2, 8, "regie-author-2", "regie-approver-2")
+	})
+
+	// Guards against two operators who both believe that their bundle is in
+	// force, whichever call the other one's rollout falls before.
+	DescribeTable("has exactly one winner in a race, and tells the other one who won",
+		func(version int) {
+			bob.prepare(version, 8, "regie-author-2", "regie-approver-2")
+			for at := 0; ; at++ {
+				race := newFakeStore()
+				for key, object := range store.objects {
+					race.objects[key] = object
+				}
+				race.version = store.version
+				ada.store, bob.store = race, race
+				calls, other, interrupted := 0, -1, false
+				race.fault = func(string, string) fault {
+					if calls++; calls == at+1 && !interrupted {
+						interrupted = true
+						other = bob.rollout()
+					}
+					return none
+				}
+				code := ada.rollout()
+				if !interrupted {
+					break
+				}
+				Expect([]int{code, other}).To(ConsistOf(ExitOK, ExitRefused), "bob before call %d", at)
+				loser, winner := ada, "version 2 is active, signed by author regie-author-1 and approver regie-approver-1"
+				if code == ExitRefused {
+					winner = fmt.Sprintf("version %d is active, signed by author regie-author-2 and approver regie-approver-2", version)
+				} else {
+					loser = bob
+				}
+				Expect(strings.Replace(loser.stderr.String(), "is already taken", "is active", 1)).To(ContainSubstring(winner))
+				Expect(race.history).To(HaveLen(1))
+			}
+		},
+		Entry("for the same version", 2),
+		Entry("with a higher version", 3),
+	)
+
+	// Guards against a rollout that reports success or defeat wrongly after
+	// lost answers, and against an active version that decreases.
+	It("stays correct when calls fail at random", func() {
+		base, baseVersion := store.objects, store.version
+		rapid.Check(GinkgoTB(), func(t *rapid.T) {
+			race := newFakeStore()
+			for key, object := range base {
+				race.objects[key] = object
+			}
+			race.version = baseVersion
+			ada.store, bob.store = race, race
+			faults := rapid.SampledFrom([]fault{none, none, none, away, lostRequest, lostAnswer})
+			start := rapid.IntRange(0, 20).Draw(t, "start")
+			calls, other := 0, -1
+			race.fault = func(string, string) fault {
+				if calls++; calls == start+1 {
+					other = bob.rollout()
+				}
+				return faults.Draw(t, "fault")
+			}
+			code := ada.rollout()
+			race.fault = func(string, string) fault { return none }
+			if code == ExitOK && other == ExitOK {
+				t.Fatalf("both won: %v", race.history)
+			}
+			if len(race.history) > 1 {
+				t.Fatalf("two versions 2 were active: %v", race.history)
+			}
+			active, _ := bundle.DecodeEnvelope(race.objects[activeKey].Value)
+			winner := active.Signer(bundle.RoleAuthor)
+			if code == ExitOK && winner != "regie-author-1" || other == ExitOK && winner != "regie-author-2" {
+				t.Fatalf("exit codes %d and %d, but %s is active", code, other, winner)
+			}
+		})
+	})
+
+	// Guards against a rollout that took effect but is reported as failed.
+	DescribeTable("settles a lost answer by reading back",
+		func(lost fault, key string) {
+			once := true
+			store.fault = func(call, k string) fault {
+				if call == "put" && strings.HasPrefix(k, key) && once {
+					once = false
+					return lost
+				}
+				return none
+			}
+			Expect(ada.rollout()).To(Equal(ExitOK))
+			Expect(once).To(BeFalse())
+			Expect(store.history).To(Equal([]uint64{1, 2}))
+		},
+		Entry("after the update of the active version", lostAnswer, activeKey),
+		Entry("before the update of the active version", lostRequest, activeKey),
+		Entry("after the version was created", lostAnswer, versionPrefix),
+		Entry("after a piece was created", lostAnswer, piecePrefix),
+	)
+
+	It("exits with 3 when the platform is away, and says when the outcome is unknown", func() {
+		began := ada.now
+		store.fault = func(string, string) fault { return away }
+		Expect(ada.rollout()).To(Equal(ExitUnreachable))
+		Expect(ada.now.Sub(began)).To(Equal(3100 * time.Millisecond))
+		lost := false
+		store.fault = func(call, key string) fault {
+			if call == "put" && key == activeKey {
+				lost = true
+				return lostAnswer
+			}
+			if lost {
+				return away
+			}
+			return none
+		}
+		Expect(ada.rollout()).To(Equal(ExitUnreachable))
+		Expect(ada.stderr.String()).To(ContainSubstring("run the same command again, which is safe"))
+		store.fault = func(string, string) fault { return none }
+		Expect(ada.rollout()).To(Equal(ExitOK))
+		Expect(store.history).To(Equal([]uint64{1, 2}))
+	})
+
+	It("rolls back by a new version with the old content", func() {
+		Expect(ada.rollout()).To(Equal(ExitOK))
+		ada.must("bundle", "rollback", "--to", "1", "--out", ada.path("back.yaml"))
+		ada.must("bundle", "check", ada.path("back.yaml"))
+		ada.must("bundle", "diff", ada.path("bundle.yaml"), ada.path("back.yaml"), "--output", "json")
+		Expect(ada.stdout.String()).To(MatchJSON(`{"changes": [
+			{"path": "version", "old": "2", "new": "3"},
+			{"path": "services[indices].floor", "old": "7", "new": "6"}]}`))
+		Expect(ada.run("bundle", "rollback", "--to", "9", "--out", ada.path("x"))).To(Equal(ExitRefused))
+	})
+})
+
+// fakeNode answers like a node. Each Status call takes the next bundle version
+// of node-3.
+type fakeNode struct {
+	controlv1connect.UnimplementedOperatorServiceHandler
+	controlv1connect.OperatorServiceClient
+	versions []uint64
+	err      error
+	drained  []string
+	explain  *controlv1.ExplainRequest
+}
+
+func (n *fakeNode) Status(context.Context, *controlv1.StatusRequest) (*controlv1.StatusResponse, error) {
+	if n.err != nil {
+		return nil, n.err
+	}
+	if len(n.versions) > 1 {
+		n.versions = n.versions[1:]
+	}
+	node := func(id, dc string, state controlv1.NodeState, version uint64) *controlv1.Node {
+		return &controlv1.Node{Id: id, Region: "finistere", DataCentre: dc, State: state, BundleVersion: version,
+			CallerAddr: "10.0.0.1:8000", OperatorAddr: "10.0.0.1:8002"}
+	}
+	return &controlv1.StatusResponse{
+		Self: node("node-1", "brest", controlv1.NodeState_NODE_STATE_ALIVE, 2),
+		Nodes: []*controlv1.Node{
+			node("node-3", "quimper", controlv1.NodeState_NODE_STATE_SUSPECT, n.versions[0]),
+			node("node-1", "brest", controlv1.NodeState_NODE_STATE_ALIVE, 1),
+			node("node-2", "brest", controlv1.NodeState_NODE_STATE_DEAD, 1),
+		},
+		BundleVersion: 2, BundleDigest: "abc", BundleName: "regie", PlatformReachable: true, InFlight: 3, LogLevel: "info",
+	}, nil
+}
+
+func (n *fakeNode) Drain(_ context.Context, r *controlv1.DrainRequest) (*controlv1.DrainResponse, error) {
+	n.drained = append(n.drained, "drain "+r.Target)
+	return &controlv1.DrainResponse{}, nil
+}
+
+func (n *fakeNode) Undrain(_ context.Context, r *controlv1.UndrainRequest) (*controlv1.UndrainResponse, error) {
+	n.drained = append(n.drained, "undrain "+r.Target)
+	return &controlv1.UndrainResponse{}, nil
+}
+
+func (n *fakeNode) ListTargets(context.Context, *controlv1.ListTargetsRequest) (*controlv1.ListTargetsResponse, error) {
+	return &controlv1.ListTargetsResponse{Targets: []*controlv1.TargetStatus{{
+		Target: &controlv1.Target{Id: "t-1", Service: "indices", Node: "node-1", DataCentre: "brest", Slots: 4,
+			State: controlv1.TargetState_TARGET_STATE_SERVING},
+		Verdict: "probation", Share: 0.05, InFlight: 1, Queued: 2, Reason: "oldest work is 12 times the usual age",
+	}}}, nil
+}
+
+func (n *fakeNode) Explain(_ context.Context, r *controlv1.ExplainRequest) (*controlv1.ExplainResponse, error) {
+	n.explain = r
+	return &controlv1.ExplainResponse{Service: r.Service, Class: "hint", BundleVersion: 2, Lines: []string{"class hint", "target t-1"}}, nil
+}
+
+func (n *fakeNode) SetLogLevel(context.Context, *controlv1.SetLogLevelRequest) (*controlv1.SetLogLevelResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, nil)
+}
+
+var _ = Describe("waiting for nodes", func() {
+	var o *operator
+	var node *fakeNode
+	BeforeEach(func() {
+		o = newOperator(newFakeStore())
+		node = &fakeNode{versions: []uint64{1, 1, 1, 2}}
+		o.node = node
+		o.prepare(2, 7, "regie-author-1", "regie-approver-1")
+	})
+	wait := func(args ...string) int {
+		return o.run(append([]string{"bundle", "rollout", o.path("bundle.yaml"), o.path("envelope")}, args...)...)
+	}
+
+	It("ends when all usable nodes have the version", func() {
+		began := o.now
+		Expect(wait()).To(Equal(ExitOK))
+		Expect(o.now.Sub(began)).To(Equal(2 * pollInterval))
+		Expect(o.stdout.String()).To(Equal("version 2 is in force on 2 of 2 nodes\n"))
+		Expect(o.stderr.String()).To(ContainSubstring("nodes with version 2"))
+	})
+
+	It("names the nodes that lag at the timeout", func() {
+		node.versions = []uint64{1}
+		Expect(wait("--timeout", "1s", "--output", "json")).To(Equal(ExitRefused))
+		var p progress
+		Expect(json.Unmarshal(o.stdout.Bytes(), &p)).To(Succeed())
+		Expect(p).To(Equal(progress{Version: 2, Nodes: 2, InForce: 1,
+			Lagging: []laggard{{Node: "node-3", DataCentre: "quimper", State: "suspect", Version: 1}}}))
+		Expect(o.run("bundle", "status")).To(Equal(ExitRefused))
+	})
+
+	It("exits with 3 when no node answers", func() {
+		node.err = connect.NewError(connect.CodeUnavailable, nil)
+		Expect(wait("--timeout", "1s")).To(Equal(ExitUnreachable))
+		Expect(o.store.history).To(Equal([]uint64{2}))
+	})
+})
+
+var _ = Describe("node commands", func() {
+	It("call the node with an operator token and print tables", func() {
+		secret := strings.Repeat("s", auth.MinSecret)
+		keys, err := auth.NewKeys(auth.AudienceOperator, []auth.Key{{ID: "op", Secret: auth.Secret(secret)}})
+		Expect(err).NotTo(HaveOccurred())
+		o := newOperator(newFakeStore())
+		node := &fakeNode{versions: []uint64{2}}
+		_, handler := controlv1connect.NewOperatorServiceHandler(node)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if subject, err := keys.Verify(r.Header, o.now); err != nil || subject != "op" {
+				w.WriteHeader(http.StatusUnauthorized)
+				return
+			}
+			handler.ServeHTTP(w, r)
+		}))
+		defer server.Close()
+		Expect(os.WriteFile(o.path("secret"), []byte(secret+"\n"), 0o600)).To(Succeed())
+		call := func(args ...string) int {
+			return o.run(append([]string{"--node", server.Listener.Addr().String(), "--operator-key-id", "op",
+				"--operator-secret-file", o.path("secret")}, args...)...)
+		}
+		var out strings.Builder
+		for _, args := range []string{"node status", "bundle status", "targets", "node drain --target t-1", "node undrain --target t-1",
+			"explain get http://indices.example:8000/v1/grids/1%202?x=y --tenant app"} {
+			Expect(call(strings.Fields(args)...)).To(Equal(ExitOK), o.stderr.String())
+			fmt.Fprintf(&out, "$ siskinvalectl %s\n%s\n", args, o.stdout.String())
+		}
+		goldie.New(GinkgoTB()).Assert(GinkgoTB(), "node", []byte(out.String()))
+		Expect(node.drained).To(Equal([]string{"drain t-1", "undrain t-1"}))
+		Expect(node.explain.Path).To(Equal("/v1/grids/1%202"))
+		Expect(node.explain.Service + node.explain.Method).To(Equal("indicesGET"))
+		Expect(call("targets", "--output", "json")).To(Equal(ExitOK))
+		Expect(json.Valid(o.stdout.Bytes())).To(BeTrue())
+
+		Expect(os.WriteFile(o.path("secret"), []byte(strings.Repeat("x", auth.MinSecret)), 0o600)).To(Succeed())
+		Expect(call("targets")).To(Equal(ExitRefused))
+		server.Close()
+		Expect(call("targets")).To(Equal(ExitUnreachable))
+	})
+})
+
+var _ = Describe("usage", func() {
+	DescribeTable("has documented exit codes",
+		func(code int, args ...string) {
+			o := newOperator(newFakeStore())
+			Expect(o.run(args...)).To(Equal(code), o.stderr.String())
+		},
+		Entry(nil, ExitOK, "--help"), Entry(nil, ExitOK, "--version"), Entry(nil, ExitOK, "bundle", "check", "--help"),
+		Entry(nil, ExitUsage), Entry(nil, ExitUsage, "bundle"), Entry(nil, ExitUsage, "frob"), Entry(nil, ExitUsage, "targets", "--frob"),
+		Entry(nil, ExitUsage, "bundle", "check"), Entry(nil, ExitUsage, "bundle", "check", "missing.yaml"),
+		Entry(nil, ExitUsage, "node", "status"), Entry(nil, ExitUsage, "explain", "GET", "http://10.0.0.1/x"),
+		Entry(nil, ExitOK, "bundle", "check", "../../examples/regie.yaml", "../../examples/magnolia.yaml"),
+		Entry(nil, ExitRefused, "bundle", "check", "../bundle/testdata/faulty.yaml"),
+		Entry(nil, ExitRefused, "bundle", "check", "--output", "json", "../bundle/testdata/faulty.yaml"),
+	)
+})
