Test that an interrupted rollout keeps its version

A check that create refuses a different envelope for the same version could be removed without a failing test. The new test interrupts a rollout between the two writes, and fails without the check.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -335,6 +335,24 @@
 		Expect(store.history).To(Equal([]uint64{1, 2}))
 	})
 
+	// Guards against two envelopes for one version: one that a rollout stored
+	// before it was interrupted, and another one that became active.
+	It("keeps a version for the rollout that created it, which can be completed later", func() {
+		store.fault = func(call, key string) fault {
+			if call == "put" && key == activeKey {
+				return away
+			}
+			return none
+		}
+		Expect(ada.rollout()).To(Equal(ExitUnreachable))
+		store.fault = func(string, string) fault { return none }
+		Expect(bob.rollout()).To(Equal(ExitRefused))
+		Expect(bob.stderr.String()).To(ContainSubstring("version 2 is already taken, signed by author regie-author-1"))
+		Expect(ada.rollout()).To(Equal(ExitOK))
+		Expect(store.history).To(Equal([]uint64{1, 2}))
+		Expect(store.objects[versionKey(2)].Value).To(Equal(store.objects[activeKey].Value))
+	})
+
 	It("rolls back by a new version with the old content", func() {
 		Expect(ada.rollout()).To(Equal(ExitOK))
 		ada.must("bundle", "rollback", "--to", "1", "--out", ada.path("back.yaml"))
