--- a/internal/membership/budget.go
+++ b/internal/membership/budget.go
@@ -6,23 +6,43 @@
 	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
 )
 
-// sendClass says what happens to a packet when the budget is used up.
+// sendClass orders packets by what is left out first when the budget gets
+// short. An answer that is left out makes a live node look dead, so answers go
+// last.
 type sendClass uint8
 
 const (
-	// optional packets are left out; their news is piggybacked later.
-	optional sendClass = iota
-	// essential packets (probes, answers) may take up to one second's budget
-	// in advance.
-	essential
+	// bulk news may wait for minutes if need be.
+	bulk sendClass = iota
+	// state news are changes of a node's state.
+	state
+	// check is an indirect probe or the check of a rumour.
+	check
+	// probing is a regular probe.
+	probing
+	// answering is the answer to a probe.
+	answering
 )
 
-// refill adds the tokens of the time that passed. The bucket holds one second's
-// budget.
+// statePiggyback is how many bytes of state changes a packet may always carry.
+const statePiggyback = 240
+
+// burstSeconds is how many seconds' budget can be saved up for a fault.
+const burstSeconds = 4
+
+// reserve returns the tokens that a packet of the class must leave. Bulk news
+// leave half of the bucket for the faults that may come next; probes and answers
+// may be paid for in advance.
+func (m *Machine) reserve(class sendClass) int {
+	seconds := [...]float64{bulk: 2, state: 0, check: 0, probing: -1, answering: -2}
+	return int(seconds[class] * float64(m.cfg.BytesPerSecond))
+}
+
+// refill adds the tokens of the time that passed.
 func (m *Machine) refill() {
+	perSecond := float64(m.cfg.BytesPerSecond)
 	if !m.refilled.IsZero() {
-		perSecond := float64(m.cfg.BytesPerSecond)
-		m.tokens = min(perSecond, m.tokens+perSecond*m.now.Sub(m.refilled).Seconds())
+		m.tokens = min(burstSeconds*perSecond, m.tokens+perSecond*m.now.Sub(m.refilled).Seconds())
 	}
 	m.refilled = m.now
 }
@@ -32,8 +52,9 @@
 }
 
 // sendWithNews sends d with piggybacked updates. The receiver is told first of
-// a rumour about itself and of the own record if it does not have it.
-func (m *Machine) sendWithNews(addr string, p *peer, d *controlv1.Datagram, class sendClass) {
+// a rumour about itself and of the own record if it does not have it. It reports
+// whether the budget allowed the packet.
+func (m *Machine) sendWithNews(addr string, p *peer, d *controlv1.Datagram, class sendClass) bool {
 	if p != nil && (p.suspected || !p.usable()) && !mentions(d, p) {
 		d.Nodes = append(d.Nodes, rumour(p))
 	}
@@ -41,8 +62,7 @@
 		d.Nodes = append(d.Nodes, NodeToProto(m.self.node))
 	}
 	if !m.affords(packetSize(d), class) {
-		m.stats.OverBudget++
-		return
+		return false
 	}
 	if p != nil {
 		p.told = true
@@ -53,14 +73,14 @@
 			q = m.remote
 		}
 		size := packetSize(d)
-		// Piggybacked bytes are paid from tokens that are there. A quarter of
-		// a second's budget stays for urgent updates.
-		room := min(MaxDatagram+28-size, int(m.tokens)-size-m.cfg.BytesPerSecond/4)
-		if room > 0 {
-			q.fill(d, room, string(p.node.ID))
-		}
+		space, tokens := MaxDatagram+28-size, int(m.tokens)-size
+		// The few bytes of a state change are worth a debt.
+		room := max(min(space, statePiggyback), min(space, tokens-m.reserve(state)))
+		rest := min(space, tokens-m.reserve(bulk))
+		q.fill(d, room, rest, string(p.node.ID))
 	}
 	m.spend(addr, d)
+	return true
 }
 
 func mentions(d *controlv1.Datagram, p *peer) bool {
@@ -72,20 +92,12 @@
 	return false
 }
 
-// send sends d as it is.
-func (m *Machine) send(addr string, p *peer, d *controlv1.Datagram, class sendClass) {
-	if !m.affords(packetSize(d), class) {
-		m.stats.OverBudget++
-		return
-	}
-	m.spend(addr, d)
-}
-
 func (m *Machine) affords(size int, class sendClass) bool {
-	if class == essential {
-		return m.tokens-float64(size) >= -float64(m.cfg.BytesPerSecond)
+	if int(m.tokens)-size < m.reserve(class) {
+		m.stats.OverBudget++
+		return false
 	}
-	return m.tokens >= float64(size)
+	return true
 }
 
 func (m *Machine) spend(addr string, d *controlv1.Datagram) {
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -23,8 +23,9 @@
 	TickInterval time.Duration
 	// ProbeInterval is the time between two probes of one node.
 	ProbeInterval time.Duration
-	// DirectTimeout is how long a probe waits before it asks helpers.
-	DirectTimeout time.Duration
+	// RoundTimeout is the time between the rounds of a probe: a ping, a second
+	// ping, a few helpers, many helpers.
+	RoundTimeout time.Duration
 	// ProbeTimeout is how long a probe waits in all.
 	ProbeTimeout time.Duration
 	// SuspectTimeout is how long a suspected node has to refute.
@@ -33,8 +34,9 @@
 	// off calling others dead, because its own inbound path is the more likely
 	// fault.
 	IsolationHold time.Duration
-	// IndirectProbes is the number of helpers of one probe.
-	IndirectProbes int
+	// IndirectProbes is the number of helpers that a probe asks first, and
+	// WideProbes the number it asks when they do not reach the target either.
+	IndirectProbes, WideProbes int
 	// Fanout is to how many nodes an urgent update is pushed at once.
 	Fanout int
 	// ReconnectInterval is the time between pings of dead nodes and of seeds
@@ -54,21 +56,22 @@
 
 // DefaultConfig suits fleets of today's sizes. The worst case of a detection is
 // two probe intervals, ProbeTimeout and SuspectTimeout, and two ticks: 1.8 s,
-// below the bound of 2 s. The budget leaves 60% of the 5 KB/s of control
-// traffic to received packets, evidence and leases.
+// below the bound of 2 s. The budget leaves half of the 5 KB/s of control traffic
+// to full-state exchanges, evidence and leases.
 func DefaultConfig() Config {
 	return Config{
 		TickInterval:      50 * time.Millisecond,
 		ProbeInterval:     200 * time.Millisecond,
-		DirectTimeout:     150 * time.Millisecond,
+		RoundTimeout:      100 * time.Millisecond,
 		ProbeTimeout:      400 * time.Millisecond,
 		SuspectTimeout:    900 * time.Millisecond,
 		IsolationHold:     10 * time.Second,
 		IndirectProbes:    3,
+		WideProbes:        16,
 		Fanout:            3,
 		ReconnectInterval: time.Second,
 		DeadRetention:     time.Hour,
-		BytesPerSecond:    2000,
+		BytesPerSecond:    2500,
 		ProbeAll:          true,
 		Relays:            2,
 	}
@@ -78,11 +81,12 @@
 	d := DefaultConfig()
 	setDefault(&c.TickInterval, d.TickInterval)
 	setDefault(&c.ProbeInterval, d.ProbeInterval)
-	setDefault(&c.DirectTimeout, d.DirectTimeout)
+	setDefault(&c.RoundTimeout, d.RoundTimeout)
 	setDefault(&c.ProbeTimeout, d.ProbeTimeout)
 	setDefault(&c.SuspectTimeout, d.SuspectTimeout)
 	setDefault(&c.IsolationHold, d.IsolationHold)
 	setDefault(&c.IndirectProbes, d.IndirectProbes)
+	setDefault(&c.WideProbes, d.WideProbes)
 	setDefault(&c.Fanout, d.Fanout)
 	setDefault(&c.ReconnectInterval, d.ReconnectInterval)
 	setDefault(&c.DeadRetention, d.DeadRetention)
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -20,13 +20,14 @@
 	// syncOnDemandInterval is the shortest time between two exchanges that are asked
 	// for because an unknown node was heard.
 	syncOnDemandInterval = 5 * time.Second
+	// earlySyncs further exchanges follow the first one in growing distances
+	// of 2 s and 8 s, in fleets of up to earlySyncNodes.
+	earlySyncs        = 2
+	earlySyncInterval = 500 * time.Millisecond
+	earlySyncNodes    = 256
 	// refuteInterval bounds how often the own incarnation is raised, so that
 	// two processes with one identifier do not outbid each other without end.
 	refuteInterval = 100 * time.Millisecond
-	// mergeSpread is up to how many unknown nodes of one full-state exchange
-	// are passed on as updates. A joining node learns the whole fleet and need
-	// not repeat it.
-	mergeSpread = 64
 	// recentSenders is how many of the last senders are remembered as helpers.
 	recentSenders = 4
 	// isolationPeers is the number of live nodes from which silence points to
@@ -44,9 +45,11 @@
 	suspected bool
 	deadline  time.Time
 	verifyAt  time.Time // zero when no check is due
+	checked   bool      // this node probed the peer since the suspicion began
 	deadSince time.Time
 	// helper is the node that last confirmed this one indirectly.
-	helper *peer
+	helper     *peer
+	indirectAt time.Time
 }
 
 // usable reports whether the peer counts as live.
@@ -76,16 +79,20 @@
 	lastTick  time.Time
 	nextProbe time.Time
 	turn      int
+	impaired  int // rises when own probes need helpers, up to maxImpaired
 	sequence  uint64
 	probes    []*probe
 	forwards  []forward
 	suspects  []*peer
 	rechecks  []recheck
 	recent    []*peer // last senders, latest first
+	answered  *peer   // the last node that answered a probe
 	lastHeard time.Time
 
 	nextReconnect time.Time
 	nextSync      time.Time
+	joined        bool // a full-state exchange took place
+	earlySyncs    int
 	lastOnDemand  time.Time
 	lastRefuted   time.Time
 	highest       uint64 // highest bundle version heard of
@@ -123,7 +130,7 @@
 		local:   newQueue(),
 		remote:  newQueue(),
 	}
-	m.tokens = float64(m.cfg.BytesPerSecond)
+	m.tokens = burstSeconds * float64(m.cfg.BytesPerSecond)
 	m.self = m.add(self)
 	return m
 }
@@ -233,7 +240,10 @@
 		return
 	}
 	for _, p := range m.probes {
-		p.direct, p.final = p.direct.Add(gap), p.final.Add(gap)
+		p.final = p.final.Add(gap)
+		if !p.next.IsZero() {
+			p.next = p.next.Add(gap)
+		}
 	}
 	for _, p := range m.suspects {
 		p.deadline = p.deadline.Add(gap)
@@ -250,7 +260,7 @@
 	m.checkSuspects()
 	if !m.now.Before(m.nextProbe) {
 		m.probeNext()
-		m.nextProbe = m.nextProbe.Add(m.cfg.ProbeInterval)
+		m.nextProbe = m.nextProbe.Add(m.cfg.ProbeInterval * time.Duration(1+m.impaired))
 		if m.nextProbe.Before(m.now) {
 			m.nextProbe = m.now.Add(m.cfg.ProbeInterval)
 		}
@@ -259,12 +269,31 @@
 	if !m.now.Before(m.nextReconnect) {
 		m.nextReconnect = m.now.Add(m.jitter(m.cfg.ReconnectInterval))
 		m.reconnect()
+		if !m.joined {
+			m.sync()
+		}
 	}
 	if !m.now.Before(m.nextSync) {
 		m.nextSync = m.now.Add(m.jitter(syncInterval))
-		if p := m.randomPeer(m.reach(), m.exceptSelf); p != nil {
-			m.emit(SyncWith{p.node.PeerAddr})
-		}
+		m.sync()
+	}
+}
+
+// sync asks for a full-state exchange with a random live node.
+func (m *Machine) sync() {
+	if p := m.randomPeer(m.reach(), func(p *peer) bool { return p != m.self && p.trusted() }); p != nil {
+		m.emit(SyncWith{p.node.PeerAddr})
+	}
+}
+
+// noteJoined plans the second and third exchange soon after the first one,
+// because nodes that start together each learn from a seed that does not know
+// the others yet. A large fleet does not start at once, and its state is large.
+func (m *Machine) noteJoined() {
+	m.joined = true
+	if m.earlySyncs < earlySyncs && len(m.ring) <= earlySyncNodes {
+		m.earlySyncs++
+		m.nextSync = m.now.Add(m.jitter(earlySyncInterval << (2 * m.earlySyncs)))
 	}
 }
 
@@ -283,7 +312,7 @@
 		p.told = false
 	}
 	m.emit(NodeChanged{m.self.node})
-	m.spread(m.self, NodeToProto(m.self.node), urgent|push)
+	m.spread(m.self, NodeToProto(m.self.node), stateRank, push)
 }
 
 func (m *Machine) bundleActivated(version uint64) {
@@ -298,7 +327,7 @@
 // spreadVersion disseminates the bundle version of p in a short record. Only
 // the first news of a version is pushed; the rest is piggybacked.
 func (m *Machine) spreadVersion(p *peer) {
-	how := usual
+	var how spreadFlags
 	if p.node.BundleVersion > m.highest {
 		m.highest = p.node.BundleVersion
 		how = push
@@ -309,39 +338,34 @@
 	m.spread(p, &controlv1.Node{
 		Id: string(p.node.ID), Incarnation: p.node.Incarnation,
 		State: stateToProto(p.node.State), BundleVersion: p.node.BundleVersion,
-	}, how)
+	}, recordRank, how)
 }
 
 func (m *Machine) broadcastTarget(t fleet.Target) {
-	u := update{key: "target/" + string(t.ID), target: TargetToProto(t), urgent: true}
-	m.enqueue(u, push)
+	m.enqueue(update{key: "target/" + string(t.ID), target: TargetToProto(t), rank: targetRank}, push)
 }
 
-// spreadFlags say how an update is disseminated.
+// spreadFlags say how an update is disseminated besides piggybacking.
 type spreadFlags uint8
 
 const (
-	usual spreadFlags = 0
-	// urgent updates are piggybacked before the others.
-	urgent spreadFlags = 1 << iota
 	// push sends the update to some nodes at once.
-	push
+	push spreadFlags = 1 << iota
 	// localOnly keeps the update inside the data centre.
 	localOnly
 )
 
 // spread disseminates a node record.
-func (m *Machine) spread(p *peer, record *controlv1.Node, how spreadFlags) {
-	m.enqueue(update{key: string(p.node.ID), node: record, urgent: how&urgent != 0}, how)
+func (m *Machine) spread(p *peer, record *controlv1.Node, r rank, how spreadFlags) {
+	m.enqueue(update{key: string(p.node.ID), node: record, rank: r}, how)
 }
 
 func (m *Machine) enqueue(u update, how spreadFlags) {
 	local, remote := u, u
 	local.left = transmissions(len(m.reach()))
 	m.local.put(&local)
-	crosses := !m.cfg.ProbeAll && how&localOnly == 0 && m.isRelay(m.self)
 	var relays []*peer
-	if crosses {
+	if !m.cfg.ProbeAll && how&localOnly == 0 && m.isRelay(m.self) {
 		relays = m.remoteRelays()
 		remote.left = transmissions(len(relays))
 		m.remote.put(&remote)
@@ -352,13 +376,17 @@
 	}
 }
 
-// transmissions is how often an update is sent to n nodes: each sending doubles
-// the informed nodes, and the factor leaves a chance below 1% that one of them
-// misses it; the periodic exchange repairs that.
-func transmissions(n int) int { return 2 + 2*int(math.Ceil(math.Log(float64(n+1)))) }
+// transmissions is how often an update is piggybacked among n nodes. Together
+// with the pushes, nearly all nodes get it; the periodic exchange repairs the
+// rest.
+func transmissions(n int) int { return 2 + int(math.Ceil(math.Log(float64(n+1)))) }
 
 // push sends one update to random nodes of the list.
 func (m *Machine) push(u update, list []*peer) {
+	class := bulk
+	if u.rank == stateRank {
+		class = state
+	}
 	sent := make([]*peer, 0, m.cfg.Fanout)
 	for range m.cfg.Fanout {
 		p := m.randomPeer(list, func(p *peer) bool {
@@ -370,11 +398,17 @@
 		sent = append(sent, p)
 		d := m.datagram()
 		if u.node != nil {
-			d.Nodes = []*controlv1.Node{u.node}
+			d.Nodes = append(d.Nodes, u.node)
 		} else {
-			d.Targets = []*controlv1.Target{u.target}
+			d.Targets = append(d.Targets, u.target)
 		}
-		m.send(p.node.PeerAddr, p, d, optional)
+		if !m.affords(packetSize(d), class) {
+			return
+		}
+		if class == state {
+			m.local.fillFrom(&m.local.lists[stateRank], d, statePiggyback, string(p.node.ID))
+		}
+		m.spend(p.node.PeerAddr, d)
 	}
 }
 
@@ -402,6 +436,9 @@
 	m.ring = drop(m.ring, p)
 	m.centres[p.node.DataCentre] = drop(m.centres[p.node.DataCentre], p)
 	m.recent = drop(m.recent, p)
+	if m.answered == p {
+		m.answered = nil
+	}
 	for _, q := range m.ring {
 		if q.helper == p {
 			q.helper = nil
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,218 @@
+package membership_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/membership"
+)
+
+func TestMembership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "membership")
+}
+
+// runs returns how many seeds a random-schedule test runs.
+func runs(usual, soak int) int {
+	if os.Getenv("SISKINVALE_SOAK") != "" {
+		return soak
+	}
+	return usual
+}
+
+var _ = Describe("Machine", func() {
+	cfg := membership.DefaultConfig()
+
+	It("finds all nodes from one seed", func() {
+		n := newNetwork(1, cfg)
+		seed := node(0, 4)
+		n.start(seed)
+		for i := 1; i < 30; i++ {
+			n.start(node(i, 4), seed.PeerAddr)
+		}
+		Expect(n.runUntil(10*time.Second, n.converged)).To(BeTrue(), "%v", n.disagreements())
+	})
+
+	DescribeTable("takes a dead node out of use within 2 s and keeps the others", func(size int, seed uint64) {
+		n := fleetOf(seed, size, 4, cfg)
+		n.changed = func(at *member, changed fleet.Node) {
+			if changed.State == fleet.NodeDead {
+				Expect(changed.ID).To(Equal(n.order[size/2].self.ID))
+			}
+		}
+		n.stop(n.order[size/2])
+		Expect(n.runUntil(2*time.Second, n.converged)).To(BeTrue(), "%v", n.disagreements())
+		n.run(5 * time.Second)
+		Expect(n.disagreements()).To(BeEmpty())
+	},
+		Entry("two nodes", 2, uint64(1)), Entry("three nodes", 3, uint64(2)),
+		Entry("ten nodes", 10, uint64(3)), Entry("forty nodes", 40, uint64(4)), Entry("forty nodes", 40, uint64(5)))
+
+	It("removes neighbours that die together within 2 s", func() {
+		n := fleetOf(6, 40, 4, cfg)
+		for i := 0; i < 40; i += 4 { // one data centre
+			n.stop(n.order[i])
+		}
+		Expect(n.runUntil(2*time.Second, n.converged)).To(BeTrue(), "%v", n.disagreements())
+	})
+
+	It("keeps a node whose packets reach one peer only", func() {
+		n := fleetOf(7, 20, 4, cfg)
+		muted, friend := n.order[3].self.PeerAddr, n.order[11].self.PeerAddr
+		n.cut = func(from, to string) bool { return from == muted && to != friend }
+		expectNoDeath(n, 30*time.Second)
+	})
+
+	It("keeps the others at a node that hears one peer only", func() {
+		n := fleetOf(8, 20, 4, cfg)
+		deaf, friend := n.order[3].self.PeerAddr, n.order[11].self.PeerAddr
+		n.cut = func(from, to string) bool { return to == deaf && from != friend }
+		expectNoDeath(n, 30*time.Second)
+	})
+
+	It("keeps all nodes although a tenth of the packets is lost", func() {
+		n := fleetOf(9, 40, 4, cfg)
+		n.loss = 0.1
+		expectNoDeath(n, 60*time.Second)
+	})
+
+	It("forgives a pause and does not blame the others for it", func() {
+		n := fleetOf(10, 20, 4, cfg)
+		sleeper := n.order[5]
+		n.changed = func(at *member, changed fleet.Node) {
+			if changed.State == fleet.NodeDead {
+				Expect(at).NotTo(Equal(sleeper), "a resumed node called %s dead", changed.ID)
+				Expect(changed.ID).To(Equal(sleeper.self.ID))
+			}
+		}
+		n.pause(sleeper)
+		n.run(10 * time.Second)
+		n.resume(sleeper)
+		Expect(n.runUntil(5*time.Second, n.converged)).To(BeTrue(), "%v", n.disagreements())
+	})
+
+	It("tells of a leaving node at once and does not revive it", func() {
+		n := fleetOf(11, 20, 4, cfg)
+		n.step(n.order[5], membership.Leave{})
+		Expect(n.runUntil(500*time.Millisecond, func() bool {
+			for _, m := range n.order {
+				if sees(m, n.order[5]) != fleet.NodeLeaving {
+					return false
+				}
+			}
+			return true
+		})).To(BeTrue())
+		n.run(5 * time.Second)
+		Expect(sees(n.order[0], n.order[5])).To(Equal(fleet.NodeLeaving))
+		n.stop(n.order[5])
+		Expect(n.runUntil(5*time.Second, n.converged)).To(BeTrue(), "%v", n.disagreements())
+	})
+
+	It("replaces a node that restarts at another address", func() {
+		n := fleetOf(12, 10, 1, cfg)
+		n.stop(n.order[4])
+		moved := n.order[4].self
+		moved.PeerAddr = "10.9.9.9:7100"
+		n.order = append(n.order[:4], n.order[5:]...)
+		n.start(moved, n.order[0].self.PeerAddr)
+		Expect(n.runUntil(5*time.Second, n.converged)).To(BeTrue(), "%v", n.disagreements())
+		known, _ := n.order[0].machine.Node(moved.ID)
+		Expect(known.PeerAddr).To(Equal(moved.PeerAddr))
+	})
+
+	It("reports a second process with its identifier", func() {
+		m := membership.New(node(0, 1), cfg, 1)
+		now := time.Unix(1_700_000_000, 0)
+		m.Step(now, membership.Start{})
+		other := node(0, 1)
+		other.PeerAddr, other.Incarnation = "10.9.9.9:7100", 5
+		actions := m.Step(now, membership.Packet{From: "10.0.0.1:7100", Message: datagramWith("node-0001", other)})
+		Expect(actions).To(ContainElement(membership.DuplicateID{Other: other}))
+		Expect(m.Self().Incarnation).To(BeNumerically(">", other.Incarnation))
+	})
+
+	It("joins both sides again after a cut of minutes", func() {
+		n := fleetOf(13, 20, 4, cfg)
+		n.cut = func(from, to string) bool { return (from[:4] == "10.0") != (to[:4] == "10.0") }
+		n.run(5 * time.Minute)
+		Expect(sees(n.order[1], n.order[0])).To(Equal(fleet.NodeDead))
+		Expect(sees(n.order[4], n.order[0])).To(Equal(fleet.NodeAlive))
+		n.cut = func(string, string) bool { return false }
+		Expect(n.runUntil(15*time.Second, n.converged)).To(BeTrue(), "%v", n.disagreements())
+	})
+
+	It("converges after all nodes restart at once", func() {
+		n := fleetOf(14, 40, 4, cfg)
+		for _, m := range n.order {
+			n.stop(m)
+		}
+		n.run(time.Second)
+		for _, m := range n.order {
+			n.start(m.self, n.order[0].self.PeerAddr, n.order[1].self.PeerAddr)
+		}
+		Expect(n.runUntil(15*time.Second, n.converged)).To(BeTrue(), "%v", n.disagreements())
+	})
+
+	It("spreads target records and bundle versions to all nodes", func() {
+		n := fleetOf(15, 40, 4, cfg)
+		n.step(n.order[7], membership.BroadcastTarget{Target: fleet.Target{ID: "t", Node: n.order[7].self.ID, Incarnation: 1, Version: 1}})
+		n.step(n.order[8], membership.BundleActivated{Version: 9})
+		Expect(n.runUntil(5*time.Second, func() bool {
+			for i, m := range n.order {
+				known, _ := m.machine.Node(n.order[8].self.ID)
+				if i != 7 && len(m.targets) == 0 || known.BundleVersion != 9 {
+					return false
+				}
+			}
+			return true
+		})).To(BeTrue())
+	})
+
+	It("stays within its byte budget under news without end", func() {
+		n := fleetOf(16, 20, 4, cfg)
+		before := n.order[0].machine.Stats().SentBytes
+		for i := range 300 {
+			for _, m := range n.order {
+				n.step(m, membership.BroadcastTarget{Target: fleet.Target{
+					ID: fleet.TargetID(fmt.Sprintf("%s-%d", m.self.ID, i)), Node: m.self.ID, Incarnation: 1, Version: 1}})
+			}
+			n.run(100 * time.Millisecond)
+		}
+		sent := n.order[0].machine.Stats().SentBytes - before
+		// The bucket holds four seconds, and answers may take two in advance.
+		Expect(sent).To(BeNumerically("<=", 36*cfg.BytesPerSecond))
+		n.run(10 * time.Second)
+		Expect(n.disagreements()).To(BeEmpty(), "the news must not starve the probes")
+	})
+
+	It("connects data centres through relays", func() {
+		relayed := cfg
+		relayed.ProbeAll = false
+		n := fleetOf(17, 40, 4, relayed)
+		Expect(n.disagreements()).To(BeEmpty())
+		n.stop(n.order[9])
+		Expect(n.runUntil(3*time.Second, n.converged)).To(BeTrue(), "%v", n.disagreements())
+		n.start(node(40, 4), n.order[0].self.PeerAddr)
+		Expect(n.runUntil(5*time.Second, n.converged)).To(BeTrue(), "%v", n.disagreements())
+		expectNoDeath(n, 30*time.Second)
+	})
+})
+
+// expectNoDeath lets time pass and fails when any node calls another one dead.
+func expectNoDeath(n *network, d time.Duration) {
+	GinkgoHelper()
+	var deaths []string
+	n.changed = func(at *member, changed fleet.Node) {
+		if changed.State == fleet.NodeDead && len(deaths) < 10 {
+			deaths = append(deaths, fmt.Sprintf("%s called %s dead", at.self.ID, changed.ID))
+		}
+	}
+	n.run(d)
+	Expect(deaths).To(BeEmpty())
+}
--- /dev/null
+++ b/internal/membership/network_test.go
@@ -0,0 +1,285 @@
+package membership_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
+	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/membership"
+)
+
+// network connects machines in virtual time. Packets take 0.5 to 1.5 ms.
+type network struct {
+	now     time.Time
+	random  *rand.Rand
+	cfg     membership.Config
+	members map[string]*member // by address
+	order   []*member
+	queue   delivery
+	serial  uint64
+	// cut reports whether packets from one node to another are lost.
+	cut func(from, to string) bool
+	// loss is the share of packets that are lost at random.
+	loss float64
+	// changed observes the changes that each machine reports.
+	changed func(at *member, n fleet.Node)
+	busy    time.Duration // processor time of the steps
+	timed   bool
+}
+
+type member struct {
+	self    fleet.Node
+	machine *membership.Machine
+	up      bool
+	paused  bool
+	backlog []membership.Event
+	targets []fleet.Target // as heard
+	syncs   int
+}
+
+// entry is a packet in flight, or the next tick of a member without event.
+type entry struct {
+	at     time.Time
+	serial uint64
+	to     *member
+	event  membership.Event
+	owner  *membership.Machine // the machine a tick was made for
+}
+
+type delivery []entry
+
+func (d delivery) Len() int { return len(d) }
+func (d delivery) Less(i, j int) bool {
+	return d[i].at.Before(d[j].at) || (d[i].at.Equal(d[j].at) && d[i].serial < d[j].serial)
+}
+func (d delivery) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *delivery) Push(x any)   { *d = append(*d, x.(entry)) }
+func (d *delivery) Pop() any {
+	old := *d
+	last := old[len(old)-1]
+	old[len(old)-1] = entry{}
+	*d = old[:len(old)-1]
+	return last
+}
+
+func newNetwork(seed uint64, cfg membership.Config) *network {
+	return &network{
+		now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), cfg: cfg,
+		members: make(map[string]*member), cut: func(string, string) bool { return false },
+	}
+}
+
+// node describes the i-th node; centres data centres share them in turns.
+func node(i, centres int) fleet.Node {
+	addr := func(port int) string { return fmt.Sprintf("10.%d.%d.%d:%d", i%centres, i>>8, i&255, port) }
+	return fleet.Node{
+		ID: fleet.NodeID(fmt.Sprintf("node-%04d", i)), Region: "region-1", DataCentre: fmt.Sprintf("dc-%d", i%centres),
+		PeerAddr: addr(7100), CallerAddr: addr(8080), OperatorAddr: addr(7200),
+	}
+}
+
+// start runs a (new) process of the node with its start time as incarnation.
+func (n *network) start(self fleet.Node, seeds ...string) *member {
+	m := n.members[self.PeerAddr]
+	if m == nil {
+		m = &member{}
+		n.members[self.PeerAddr] = m
+		n.order = append(n.order, m)
+	}
+	self.Incarnation = uint64(n.now.UnixNano())
+	m.self, m.up, m.paused, m.backlog = self, true, false, nil
+	m.machine = membership.New(self, n.cfg, n.random.Uint64())
+	n.step(m, membership.Start{Seeds: seeds})
+	n.tickLater(m)
+	return m
+}
+
+func (n *network) tickLater(m *member) {
+	n.push(entry{at: n.now.Add(membership.DefaultConfig().TickInterval), to: m, owner: m.machine})
+}
+
+func (n *network) push(e entry) {
+	n.serial++
+	e.serial = n.serial
+	heap.Push(&n.queue, e)
+}
+
+func (n *network) step(m *member, ev membership.Event) {
+	if !m.up {
+		return
+	}
+	if m.paused {
+		m.backlog = append(m.backlog, ev)
+		return
+	}
+	began := time.Time{}
+	if n.timed {
+		began = time.Now()
+	}
+	actions := m.machine.Step(n.now, ev)
+	if n.timed {
+		n.busy += time.Since(began)
+	}
+	var syncs []string
+	for _, a := range actions {
+		switch a := a.(type) {
+		case membership.Send:
+			n.send(m, a)
+		case membership.NodeChanged:
+			if n.changed != nil {
+				n.changed(m, a.Node)
+			}
+		case membership.TargetHeard:
+			m.hear(n, a.Target)
+		case membership.SyncWith:
+			syncs = append(syncs, a.Addr)
+		}
+	}
+	for _, addr := range syncs {
+		n.sync(m, addr)
+	}
+}
+
+// hear stands for the target registry: it passes on what is news.
+func (m *member) hear(n *network, t fleet.Target) {
+	for i, old := range m.targets {
+		if old.ID == t.ID {
+			if t.Newer(old) {
+				m.targets[i] = t
+				n.push(entry{at: n.now, to: m, event: membership.BroadcastTarget{Target: t}})
+			}
+			return
+		}
+	}
+	m.targets = append(m.targets, t)
+	n.push(entry{at: n.now, to: m, event: membership.BroadcastTarget{Target: t}})
+}
+
+func (n *network) delay() time.Duration {
+	return 500*time.Microsecond + time.Duration(n.random.Int64N(int64(time.Millisecond)))
+}
+
+func (n *network) send(from *member, a membership.Send) {
+	to := n.members[a.To]
+	if to == nil || n.cut(from.self.PeerAddr, a.To) || (n.loss > 0 && n.random.Float64() < n.loss) {
+		return
+	}
+	n.push(entry{at: n.now.Add(n.delay()), to: to, event: membership.Packet{From: from.self.PeerAddr, Message: a.Message}})
+}
+
+// sync is the full-state exchange; it needs both directions.
+func (n *network) sync(m *member, addr string) {
+	other := n.members[addr]
+	if other == nil || !other.up || other.paused || other == m || n.cut(m.self.PeerAddr, addr) || n.cut(addr, m.self.PeerAddr) {
+		return
+	}
+	m.syncs++
+	request, response := m.machine.State(), other.machine.State()
+	n.push(entry{at: n.now.Add(n.delay()), to: other, event: membership.Merge{Nodes: request}})
+	n.push(entry{at: n.now.Add(2 * n.delay()), to: m, event: membership.Merge{Nodes: response}})
+}
+
+// run lets virtual time pass.
+func (n *network) run(d time.Duration) { n.runUntil(d, func() bool { return false }) }
+
+// runUntil lets time pass until done or the duration is over and reports
+// whether it was done. done is checked every 10 ms.
+func (n *network) runUntil(d time.Duration, done func() bool) bool {
+	end, check := n.now.Add(d), n.now
+	for len(n.queue) > 0 && !n.queue[0].at.After(end) {
+		if !check.After(n.queue[0].at) {
+			if done() {
+				return true
+			}
+			check = n.queue[0].at.Add(10 * time.Millisecond)
+		}
+		e := heap.Pop(&n.queue).(entry)
+		n.now = e.at
+		if e.owner != nil {
+			if e.owner == e.to.machine && e.to.up {
+				if !e.to.paused {
+					n.step(e.to, membership.Tick{})
+				}
+				n.tickLater(e.to)
+			}
+			continue
+		}
+		n.step(e.to, e.event)
+	}
+	n.now = end
+	return done()
+}
+
+func (n *network) stop(m *member)  { m.up = false }
+func (n *network) pause(m *member) { m.paused = true }
+
+func (n *network) resume(m *member) {
+	m.paused = false
+	for _, ev := range m.backlog {
+		n.step(m, ev)
+	}
+	m.backlog = nil
+}
+
+// sees returns the state of b as a sees it; unknown nodes are dead.
+func sees(a, b *member) fleet.NodeState {
+	if n, ok := a.machine.Node(b.self.ID); ok {
+		return n.State
+	}
+	return fleet.NodeDead
+}
+
+// disagreements lists, in order, the views that are wrong: a running node that
+// is not alive, or a stopped one that is not dead.
+func (n *network) disagreements() []string {
+	wrong := n.wrongViews(math.MaxInt)
+	sort.Strings(wrong)
+	if len(wrong) > 10 {
+		wrong = append(wrong[:10], fmt.Sprintf("and %d more", len(wrong)-10))
+	}
+	return wrong
+}
+
+// wrongViews returns up to limit wrong views.
+func (n *network) wrongViews(limit int) []string {
+	var wrong []string
+	for _, a := range n.order {
+		for _, b := range n.order {
+			if !a.up || a == b {
+				continue
+			}
+			state := sees(a, b)
+			if (b.up && state != fleet.NodeAlive) || (!b.up && state != fleet.NodeDead) {
+				wrong = append(wrong, fmt.Sprintf("%s sees %s %s", a.self.ID, b.self.ID, state))
+				if len(wrong) == limit {
+					return wrong
+				}
+			}
+		}
+	}
+	return wrong
+}
+
+func (n *network) converged() bool { return len(n.wrongViews(1)) == 0 }
+
+// fleetOf starts size nodes that know each other, as if they had run for long.
+func fleetOf(seed uint64, size, centres int, cfg membership.Config) *network {
+	n := newNetwork(seed, cfg)
+	for i := range size {
+		n.start(node(i, centres))
+	}
+	records := make([]*controlv1.Node, size)
+	for i, m := range n.order {
+		records[i] = membership.NodeToProto(m.self)
+	}
+	for _, m := range n.order {
+		n.step(m, membership.Merge{Nodes: records})
+	}
+	n.run(3 * time.Second)
+	return n
+}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -11,9 +11,11 @@
 type probe struct {
 	sequence uint64
 	target   *peer
-	direct   time.Time // when helpers are asked
+	next     time.Time // when the next round begins
 	final    time.Time // when the probe has failed
-	asked    bool
+	asked    []*peer   // helpers
+	round    int
+	starved  bool // the budget did not allow to ask; the result means nothing
 	verify   bool // checks a suspicion; its failure changes nothing
 }
 
@@ -36,6 +38,13 @@
 const (
 	// maxForwards bounds the pings in flight on behalf of others.
 	maxForwards = 256
+	// maxImpaired bounds how much a node that reaches others by helpers only
+	// slows down its probes: by a factor of four. Otherwise the probes of a
+	// node behind a cut would use up the budget of its few helpers.
+	maxImpaired = 3
+	// indirectRest is how long a peer is not probed after a helper reached it,
+	// for the same reason.
+	indirectRest = time.Second
 	// rechecksPerTick paces the pings after a full-state exchange.
 	rechecksPerTick = 4
 )
@@ -54,14 +63,19 @@
 		relays := m.remoteRelays()
 		target := m.successor(relays)
 		if m.turn%4 == 1 {
-			target = m.randomPeer(relays, (*peer).trusted)
+			target = m.randomPeer(relays, m.due)
 		}
 		if target != nil {
 			m.probe(target, false)
 			return
 		}
 	}
-	m.probe(m.randomPeer(m.reach(), func(p *peer) bool { return p != m.self && p.trusted() }), false)
+	m.probe(m.randomPeer(m.reach(), m.due), false)
+}
+
+// due reports whether a regular probe of p makes sense.
+func (m *Machine) due(p *peer) bool {
+	return p != m.self && p.trusted() && m.now.Sub(p.indirectAt) >= indirectRest
 }
 
 // successor returns the next peer on the ring that is not in doubt.
@@ -69,7 +83,7 @@
 	first := position(list, m.self.hash, m.self.node.ID)
 	for i := range list {
 		p := list[(first+i)%len(list)]
-		if p != m.self && p.trusted() && !m.waiting(p) {
+		if m.due(p) && !m.waiting(p) {
 			return p
 		}
 	}
@@ -79,105 +93,141 @@
 // waiting reports whether a probe of p has missed its direct answer.
 func (m *Machine) waiting(p *peer) bool {
 	for _, pr := range m.probes {
-		if pr.target == p && pr.asked {
+		if pr.target == p && pr.round > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-func (m *Machine) probe(p *peer, verify bool) {
+// probe sends a probe unless one of the same peer is under way. It reports
+// whether one is under way now.
+func (m *Machine) probe(p *peer, verify bool) bool {
 	if p == nil {
-		return
+		return false
 	}
 	for _, pr := range m.probes {
 		if pr.target == p {
-			return
+			return true
 		}
 	}
+	class := probing
+	if verify {
+		class = check
+	}
 	m.sequence++
+	if !m.ping(p, m.sequence, class) {
+		return false
+	}
 	m.probes = append(m.probes, &probe{
 		sequence: m.sequence, target: p, verify: verify,
-		direct: m.now.Add(m.cfg.DirectTimeout), final: m.now.Add(m.cfg.ProbeTimeout),
+		next: m.now.Add(m.cfg.RoundTimeout), final: m.now.Add(m.cfg.ProbeTimeout),
 	})
-	class := essential
-	if verify {
-		class = optional
-	}
-	m.ping(p, m.sequence, class)
+	return true
 }
 
-func (m *Machine) ping(p *peer, sequence uint64, class sendClass) {
+func (m *Machine) ping(p *peer, sequence uint64, class sendClass) bool {
 	d := m.datagram()
 	d.Body = &controlv1.Datagram_Ping{Ping: &controlv1.Ping{Sequence: sequence, To: string(p.node.ID)}}
-	m.sendWithNews(p.node.PeerAddr, p, d, class)
+	return m.sendWithNews(p.node.PeerAddr, p, d, class)
 }
 
 func (m *Machine) expireProbes() {
 	kept := m.probes[:0]
 	var failed, unanswered []*probe
 	for _, pr := range m.probes {
-		if !pr.target.usable() && !pr.verify {
-			continue
-		}
-		if !pr.asked && !m.now.Before(pr.direct) {
-			pr.asked = true
-			unanswered = append(unanswered, pr)
-		}
-		if m.now.Before(pr.final) {
+		switch {
+		case !pr.target.usable():
+		case !m.now.Before(pr.final):
+			failed = append(failed, pr)
+		default:
 			kept = append(kept, pr)
-			continue
+			if !pr.next.IsZero() && !m.now.Before(pr.next) {
+				unanswered = append(unanswered, pr)
+			}
 		}
-		failed = append(failed, pr)
 	}
 	clear(m.probes[len(kept):])
 	m.probes = kept
 	for _, pr := range unanswered {
-		m.askHelpers(pr)
+		m.nextRound(pr)
 	}
 	for _, pr := range failed {
-		if !pr.verify {
+		if !pr.verify && !pr.starved {
 			m.stats.Suspicions++
 			m.suspect(pr.target, true)
 		}
 	}
 }
 
-// askHelpers asks other nodes to ping the target of a probe, because the direct
-// path may be cut in one direction only. The best helpers are the one that
-// reached the target before and those that were heard last, since their packets
-// arrive here.
-func (m *Machine) askHelpers(pr *probe) {
-	count := m.cfg.IndirectProbes
-	if pr.verify {
-		count = max(1, count-1)
-	}
-	suitable := func(p *peer) bool { return m.exceptSelf(p) && p != pr.target }
-	var helpers []*peer
-	for _, p := range append([]*peer{pr.target.helper}, m.recent...) {
-		// One place is kept for a random helper.
-		if p != nil && suitable(p) && !contains(helpers, p) && len(helpers) < max(1, count-1) {
-			helpers = append(helpers, p)
-		}
-	}
-	for len(helpers) < count {
-		p := m.randomPeer(m.reach(), func(p *peer) bool { return suitable(p) && !contains(helpers, p) })
-		if p == nil {
-			break
-		}
-		helpers = append(helpers, p)
+// nextRound goes on with a probe that had no answer yet: a second ping, because
+// packets get lost; then a few helpers, because the direct path may be cut in
+// one direction; then many, because a suspicion costs the whole fleet more than
+// the search for the one node that still reaches the target. The check of a
+// rumour asks one helper only, since all nodes do it.
+func (m *Machine) nextRound(pr *probe) {
+	pr.round++
+	pr.next = m.now.Add(m.cfg.RoundTimeout)
+	switch {
+	case pr.verify:
+		m.askHelpers(pr, 1)
+		pr.next = time.Time{}
+	case pr.target.suspected:
+		// Others found the same meanwhile, and all nodes check it.
+		pr.next = time.Time{}
+	case pr.round == 1:
+		m.ping(pr.target, pr.sequence, check)
+		// The next node on the ring may have failed together with this one.
+		m.probe(m.successor(m.reach()), false)
+	case pr.round == 2:
+		m.impaired = min(m.impaired+1, maxImpaired)
+		m.askHelpers(pr, m.cfg.IndirectProbes)
+	default:
+		m.askHelpers(pr, m.cfg.WideProbes)
+		pr.next = time.Time{}
 	}
-	for _, p := range helpers {
+}
+
+func (m *Machine) askHelpers(pr *probe, count int) {
+	for _, p := range m.helpers(pr, count) {
 		d := m.datagram()
 		d.Body = &controlv1.Datagram_PingRequest{PingRequest: &controlv1.PingRequest{
 			Sequence: pr.sequence, To: string(pr.target.node.ID), ToAddr: pr.target.node.PeerAddr,
 		}}
-		m.sendWithNews(p.node.PeerAddr, p, d, essential)
+		if !m.sendWithNews(p.node.PeerAddr, p, d, check) {
+			pr.starved = !pr.verify && len(pr.asked) < 2*m.cfg.IndirectProbes
+			return
+		}
+		pr.asked = append(pr.asked, p)
 	}
-	// The next node on the ring may have failed together with this one.
-	if !pr.verify {
-		m.probe(m.successor(m.reach()), false)
+}
+
+// helpers chooses nodes to be asked about the target of a probe: the one that
+// reached it before, the one that answered this node last, the one heard last,
+// and random ones.
+func (m *Machine) helpers(pr *probe, count int) []*peer {
+	var chosen []*peer
+	suitable := func(p *peer) bool {
+		return p != nil && p != pr.target && m.exceptSelf(p) && !contains(chosen, p) && !contains(pr.asked, p)
+	}
+	preferred := []*peer{pr.target.helper, m.answered}
+	if len(m.recent) > 0 {
+		preferred = append(preferred, m.recent[0])
+	}
+	for _, p := range preferred {
+		// One place is kept for a random helper.
+		if suitable(p) && len(chosen) < max(1, count-1) {
+			chosen = append(chosen, p)
+		}
+	}
+	for len(chosen) < count {
+		p := m.randomPeer(m.reach(), suitable)
+		if p == nil {
+			break
+		}
+		chosen = append(chosen, p)
 	}
+	return chosen
 }
 
 // suspect starts a suspicion against p at its present incarnation. found tells
@@ -187,7 +237,7 @@
 	if p == m.self || p.suspected || !p.usable() {
 		return
 	}
-	p.suspected = true
+	p.suspected, p.checked = true, found
 	if m.verifies(p) {
 		if !contains(m.suspects, p) {
 			m.suspects = append(m.suspects, p)
@@ -195,14 +245,14 @@
 		p.deadline = m.now.Add(m.cfg.SuspectTimeout)
 		p.verifyAt = m.now.Add(m.cfg.SuspectTimeout / 2)
 		if !found {
-			p.verifyAt = m.now.Add(time.Duration(m.random.Int64N(int64(m.cfg.DirectTimeout))))
+			p.verifyAt = m.now.Add(time.Duration(m.random.Int64N(int64(m.cfg.RoundTimeout))))
 		}
 	}
 	if p.node.State == fleet.NodeAlive {
 		p.node.State = fleet.NodeSuspect
 		m.emit(NodeChanged{p.node})
 	}
-	m.spread(p, rumour(p), urgent|push)
+	m.spread(p, rumour(p), stateRank, push)
 }
 
 // rumour is the short record that tells of a suspicion or death.
@@ -221,7 +271,7 @@
 		if !p.suspected || !p.usable() {
 			continue
 		}
-		if !m.now.Before(p.deadline) && !m.isolated(p) {
+		if !m.now.Before(p.deadline) && !m.undecided(p) {
 			expired = append(expired, p)
 			continue
 		}
@@ -235,18 +285,26 @@
 	}
 	for _, p := range m.suspects {
 		if !p.verifyAt.IsZero() && !m.now.Before(p.verifyAt) {
-			p.verifyAt = time.Time{}
-			m.probe(p, true)
+			if m.probe(p, true) {
+				p.checked, p.verifyAt = true, time.Time{}
+			}
 		}
 	}
 }
 
-// isolated reports whether this node heard nothing at all since the suspicion
-// against p began. Then its own inbound path is the likely fault, and it puts
-// off the verdict up to IsolationHold.
-func (m *Machine) isolated(p *peer) bool {
+// undecided reports whether the verdict on p is put off, at most for
+// IsolationHold: while the budget did not allow a check, and while this node
+// hears nothing at all since the suspicion began, so that its own inbound path
+// is the likely fault.
+func (m *Machine) undecided(p *peer) bool {
 	began := p.deadline.Add(-m.cfg.SuspectTimeout)
-	if m.lastHeard.After(began) || m.now.After(began.Add(m.cfg.IsolationHold)) {
+	if m.now.After(began.Add(m.cfg.IsolationHold)) {
+		return false
+	}
+	if !p.checked {
+		return true
+	}
+	if m.lastHeard.After(began) {
 		return false
 	}
 	live := 0
@@ -265,7 +323,8 @@
 	p.node.State = fleet.NodeDead
 	p.deadSince = m.now
 	m.emit(NodeChanged{p.node})
-	m.spread(p, rumour(p), urgent|push)
+	// Most nodes come to the same verdict by themselves.
+	m.spread(p, rumour(p), stateRank, 0)
 }
 
 // reconnect pings one dead node and one unknown seed, so that the two sides of
@@ -279,7 +338,7 @@
 	}
 	if p := m.randomPeer(m.ring, func(p *peer) bool { return !p.usable() && m.verifies(p) }); p != nil {
 		m.sequence++
-		m.ping(p, m.sequence, essential)
+		m.ping(p, m.sequence, check)
 	}
 	if len(m.seeds) == 0 {
 		return
@@ -299,7 +358,9 @@
 	d := m.datagram()
 	d.Nodes = append(d.Nodes, NodeToProto(m.self.node))
 	d.Body = &controlv1.Datagram_Ping{Ping: &controlv1.Ping{Sequence: m.sequence}}
-	m.send(addr, nil, d, essential)
+	if m.affords(packetSize(d), probing) {
+		m.spend(addr, d)
+	}
 }
 
 func (m *Machine) sendRechecks() {
@@ -309,13 +370,15 @@
 			return
 		}
 		r := m.rechecks[0]
-		m.rechecks = m.rechecks[1:]
 		m.sequence++
 		d := m.datagram()
 		d.Body = &controlv1.Datagram_Ping{Ping: &controlv1.Ping{Sequence: m.sequence, To: string(r.target.node.ID)}}
 		d.Nodes = append(d.Nodes, &controlv1.Node{
 			Id: string(r.target.node.ID), Incarnation: r.incarnation, State: controlv1.NodeState_NODE_STATE_DEAD,
 		})
-		m.sendWithNews(r.target.node.PeerAddr, r.target, d, essential)
+		if !m.sendWithNews(r.target.node.PeerAddr, r.target, d, bulk) {
+			return
+		}
+		m.rechecks = m.rechecks[1:]
 	}
 }
--- a/internal/membership/queue.go
+++ b/internal/membership/queue.go
@@ -14,9 +14,21 @@
 	target *controlv1.Target
 	size   int
 	left   int // transmissions left
-	urgent bool
+	rank   rank
 }
 
+// rank orders updates. Changes of a node's state go first because traffic
+// depends on them; descriptions of nodes go last because they also travel with
+// the first packet between two nodes and with full-state exchanges.
+type rank uint8
+
+const (
+	stateRank rank = iota
+	targetRank
+	recordRank
+	ranks = 3
+)
+
 func (u *update) message() proto.Message {
 	if u.node != nil {
 		return u.node
@@ -24,12 +36,11 @@
 	return u.target
 }
 
-// queue holds updates for piggybacking. Urgent updates go first; within a
-// class, updates take turns, so that a burst of news is spread evenly.
+// queue holds updates for piggybacking. Within a rank, updates take turns, so
+// that a burst of news is spread evenly.
 type queue struct {
-	byKey  map[string]*update
-	urgent []*update
-	usual  []*update
+	byKey map[string]*update
+	lists [ranks][]*update
 }
 
 func newQueue() *queue { return &queue{byKey: make(map[string]*update)} }
@@ -40,20 +51,10 @@
 	// A field of a length-delimited message costs its tag and length besides.
 	u.size = proto.Size(u.message()) + 3
 	if old, ok := q.byKey[u.key]; ok {
-		q.remove(old)
+		q.lists[old.rank] = without(q.lists[old.rank], old)
 	}
 	q.byKey[u.key] = u
-	if u.urgent {
-		q.urgent = append([]*update{u}, q.urgent...)
-	} else {
-		q.usual = append([]*update{u}, q.usual...)
-	}
-}
-
-func (q *queue) remove(u *update) {
-	delete(q.byKey, u.key)
-	q.urgent = without(q.urgent, u)
-	q.usual = without(q.usual, u)
+	q.lists[u.rank] = append([]*update{u}, q.lists[u.rank]...)
 }
 
 func without(list []*update, u *update) []*update {
@@ -65,12 +66,17 @@
 	return list
 }
 
-// fill appends updates to d until room bytes are used and returns the bytes
-// used. skip names the receiver, which needs no news about itself unless it is
+// fill appends updates to d. State changes may use room bytes, the others bulk
+// bytes. skip names the receiver, which needs no news about itself unless it is
 // a rumour; the caller adds those.
-func (q *queue) fill(d *controlv1.Datagram, room int, skip string) int {
-	used := q.fillFrom(&q.urgent, d, room, skip)
-	return used + q.fillFrom(&q.usual, d, room-used, skip)
+func (q *queue) fill(d *controlv1.Datagram, room, bulk int, skip string) {
+	used := 0
+	for r := range q.lists {
+		if rank(r) > stateRank {
+			room = min(room, bulk)
+		}
+		used += q.fillFrom(&q.lists[r], d, room-used, skip)
+	}
 }
 
 func (q *queue) fillFrom(list *[]*update, d *controlv1.Datagram, room int, skip string) int {
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -35,7 +35,7 @@
 	default:
 		// A node that is dead here but sends news has to learn of it.
 		if sender != nil && !sender.usable() && d.Incarnation <= sender.node.Incarnation {
-			m.sendWithNews(sender.node.PeerAddr, sender, m.datagram(), optional)
+			m.sendWithNews(sender.node.PeerAddr, sender, m.datagram(), bulk)
 		}
 	}
 }
@@ -57,8 +57,10 @@
 // noteSender remembers who was heard. A sender without a record is asked for
 // its state, because its own record was lost on the way.
 func (m *Machine) noteSender(sender *peer, addr string) {
-	if sender == nil {
+	if sender == nil || !m.joined {
 		m.syncOnDemand(addr)
+	}
+	if sender == nil {
 		return
 	}
 	if len(m.recent) > 0 && m.recent[0] == sender {
@@ -85,7 +87,7 @@
 	}
 	d := m.datagram()
 	d.Body = &controlv1.Datagram_Ack{Ack: &controlv1.Ack{Sequence: ping.GetSequence()}}
-	m.sendWithNews(addr, sender, d, essential)
+	m.sendWithNews(addr, sender, d, answering)
 }
 
 func (m *Machine) acked(sender *peer, sequence uint64) {
@@ -94,8 +96,11 @@
 			continue
 		}
 		m.probes = append(m.probes[:i], m.probes[i+1:]...)
+		m.answered = sender
 		if sender != pr.target {
-			pr.target.helper = sender
+			pr.target.helper, pr.target.indirectAt = sender, m.now
+		} else {
+			m.impaired = max(m.impaired-1, 0)
 		}
 		if pr.target.suspected {
 			// The answer proves that the node lives; its refutation follows.
@@ -113,7 +118,7 @@
 		d.Body = &controlv1.Datagram_Ack{Ack: &controlv1.Ack{Sequence: f.answer}}
 		// The origin may hold a suspicion that the target has refuted.
 		d.Nodes = []*controlv1.Node{rumour(f.target)}
-		m.sendWithNews(f.origin, m.byAddr(f.origin), d, essential)
+		m.sendWithNews(f.origin, m.byAddr(f.origin), d, answering)
 		return
 	}
 }
@@ -144,7 +149,7 @@
 		sequence: m.sequence, target: target, origin: origin, answer: r.GetSequence(),
 		expires: m.now.Add(m.cfg.ProbeTimeout),
 	})
-	m.ping(target, m.sequence, essential)
+	m.ping(target, m.sequence, probing)
 }
 
 func (m *Machine) dropForwards() {
@@ -162,12 +167,7 @@
 // suspicion against all nodes at once would exceed the budget. The nodes
 // concerned are told instead.
 func (m *Machine) merge(e Merge) {
-	unknown := 0
-	for _, n := range e.Nodes {
-		if _, ok := m.peers[fleet.NodeID(n.GetId())]; !ok {
-			unknown++
-		}
-	}
+	m.noteJoined()
 	for _, n := range e.Nodes {
 		p := m.peers[fleet.NodeID(n.GetId())]
 		state := stateFromProto(n.GetState())
@@ -179,7 +179,8 @@
 				continue
 			}
 		}
-		m.apply(n, p == nil && unknown > mergeSpread)
+		// A joining node learns the whole fleet and need not repeat it.
+		m.apply(n, p == nil)
 	}
 }
 
@@ -236,7 +237,7 @@
 	m.highest = max(m.highest, n.BundleVersion)
 	m.emit(NodeChanged{p.node})
 	if !quiet {
-		m.spread(p, NodeToProto(p.node), urgent|push)
+		m.spread(p, NodeToProto(p.node), recordRank, push)
 	}
 	if suspect {
 		m.suspect(p, false)
@@ -258,6 +259,14 @@
 		return
 	}
 	m.suspect(p, false)
+	if n.State == fleet.NodeDead {
+		// The other node checked it and the fleet had time to refute, so that
+		// half of the time and, with a short budget, no own check will do.
+		p.checked = true
+		if sooner := m.now.Add(m.cfg.SuspectTimeout / 2); p.deadline.After(sooner) {
+			p.deadline = sooner
+		}
+	}
 }
 
 // applyAlive takes a record of a live or leaving node.
@@ -289,7 +298,7 @@
 	p.suspected, p.told = false, false
 	m.highest = max(m.highest, n.BundleVersion)
 	m.emit(NodeChanged{p.node})
-	m.spread(p, NodeToProto(p.node), urgent|push)
+	m.spread(p, NodeToProto(p.node), stateRank, push)
 }
 
 // restartStep separates a refutation, which raises the incarnation by one, from
