Test at-most-once execution on random schedules

Change: a discrete-event harness in the tests runs the real manager under crashes, pauses, one-way cuts, platform outages, lost answers, drains and clock differences. It found that a refusal which reaches the ingress late could be told while a later request ran; verdicts now carry the time until which NotRun may be stated. Plans are cached per view and members.

--- a/internal/operation/config.go
+++ b/internal/operation/config.go
@@ -50,6 +50,9 @@
 	// MaxDelay is the largest age of a request, counted from its receipt by
 	// the ingress, that may still run. Refusal records are kept this long.
 	MaxDelay time.Duration
+	// AnswerTime is how long a refusal may take on its way to the ingress and
+	// still be told to the caller as NotRun.
+	AnswerTime time.Duration
 	// MaxAnswer is the largest answer in bytes that is kept for one key.
 	MaxAnswer int
 	// MaxAnswers bounds the bytes of all kept answers of one service.
@@ -75,6 +78,7 @@
 		ReclaimAfter:     5 * time.Second,
 		PlatformRetry:    time.Second,
 		MaxDelay:         time.Minute,
+		AnswerTime:       500 * time.Millisecond,
 		MaxAnswer:        64 << 10,
 		MaxAnswers:       32 << 20,
 		MaxKeys:          1 << 16,
@@ -90,6 +94,7 @@
 		{&c.StandbyLostAfter, &d.StandbyLostAfter}, {&c.RebalanceDelay, &d.RebalanceDelay},
 		{&c.HandOverWait, &d.HandOverWait}, {&c.ReclaimAfter, &d.ReclaimAfter},
 		{&c.PlatformRetry, &d.PlatformRetry}, {&c.MaxDelay, &d.MaxDelay},
+		{&c.AnswerTime, &d.AnswerTime},
 	} {
 		if *f.value == 0 {
 			*f.value = *f.standard
--- a/internal/operation/manager.go
+++ b/internal/operation/manager.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -203,6 +204,9 @@
 // LearnAssignment takes in an object operations/<service> that was heard from
 // the platform's watch or a peer.
 func (m *Manager) LearnAssignment(o Object) error {
+	if known, _ := m.Known(strings.TrimPrefix(o.Key, ObjectPrefix)); o.Version <= known {
+		return nil
+	}
 	a, err := DecodeAssignment(o.Value)
 	if err != nil {
 		return err
@@ -267,15 +271,17 @@
 			m.finish(s, r, Answer{}, Failed, v)
 		}
 	}()
-	a, ran = run(ctx, func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return s.table.MayDispatch(m.clock.Now(), r)
-	})
+	a, ran = run(ctx, func() bool { return m.mayDispatch(s, r) })
 	finished = true
 	return a, m.finish(s, r, a, ran, v)
 }
 
+func (m *Manager) mayDispatch(s *service, r Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.MayDispatch(m.clock.Now(), r)
+}
+
 func (m *Manager) finish(s *service, r Request, a Answer, ran Ran, v Verdict) Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/operation/owner.go
+++ b/internal/operation/owner.go
@@ -65,6 +65,7 @@
 	lastStep     time.Duration
 	holdOff      map[fleet.NodeID]time.Duration
 	unowned      []int
+	cached       plan
 }
 
 // NewOwner returns the machine of a process that starts now. running returns
@@ -116,6 +117,10 @@
 
 // Step handles one event.
 func (o *Owner) Step(now Now, ev Event) []Action {
+	switch ev.(type) {
+	case RenewReceived, HandOverReceived:
+		return nil // for the standby
+	}
 	if now.Mono-o.lastStep > ownPause {
 		// This process was paused: the silence of others proves nothing.
 		for _, g := range o.grantors {
@@ -150,7 +155,7 @@
 	actions = append(actions, o.write(now)...)
 	actions = append(actions, o.handOver(now)...)
 	actions = append(actions, o.renew(now)...)
-	return append(actions, o.reportUnowned()...)
+	return append(actions, o.reportUnowned(now)...)
 }
 
 // ownPause is the longest gap between two steps of a process that is not
@@ -285,7 +290,7 @@
 // or will be needed.
 func (o *Owner) renew(now Now) []Action {
 	var actions []Action
-	wanted := o.wantedGrantors(now)
+	wanted := o.plan(now).grantors
 	for node := range o.grantors {
 		if !slices.Contains(wanted, node) {
 			if o.silent(now, node) && now.Mono-o.grantors[node].heard < 2*o.cfg.Promise {
@@ -316,26 +321,58 @@
 	return actions
 }
 
-func (o *Owner) wantedGrantors(now Now) []fleet.NodeID {
+// plan is what follows from the view and the members. It is kept until one of
+// them changes, because it costs a pass over all ranges.
+type plan struct {
+	version    uint64
+	members    []Member
+	pending    *proposal
+	candidates []Member
+	want       []fleet.NodeID
+	planned    Assignment
+	differs    bool
+	grantors   []fleet.NodeID // nodes whose promise is or will be needed
+	claims     []int
+	unowned    []int
+}
+
+func (o *Owner) plan(now Now) *plan {
+	p := &o.cached
+	candidates := o.candidates(now)
+	if p.version == o.view.Version && p.pending == o.writer.pending && slices.Equal(p.candidates, candidates) && slices.Equal(p.members, o.members) {
+		return p
+	}
+	a := o.view.Assignment
+	*p = plan{version: o.view.Version, members: o.members, pending: o.writer.pending, candidates: candidates}
+	p.want = desired(a, candidates)
+	p.planned, p.differs = planWith(a, p.want, candidates, o.self)
+	p.unowned = unowned(a, o.members)
 	set := map[fleet.NodeID]bool{}
-	planned, _ := Plan(o.view.Assignment, o.candidates(now), o.self)
-	for i, r := range o.view.Assignment.Ranges {
+	for i, r := range a.Ranges {
+		restarted := r.Owner == o.self && r.Standby == "" && r.OwnerIncarnation < o.incarnation
+		if (r.Owner == "" || restarted) && p.want[i] == o.self {
+			p.claims = append(p.claims, i)
+		}
 		if !o.mine(r) {
 			continue
 		}
 		set[r.Standby] = true
-		set[planned.Ranges[i].Standby] = true
-		if p := o.writer.pending; p != nil {
-			set[p.next.Ranges[i].Standby] = true
+		set[p.planned.Ranges[i].Standby] = true
+		if p.pending != nil {
+			set[p.pending.next.Ranges[i].Standby] = true
 		}
 	}
 	delete(set, "")
 	delete(set, o.self)
-	return sortedNodes(set)
+	p.grantors = sortedNodes(set)
+	return p
 }
 
 // candidates are the members without those that do not answer this node.
 func (o *Owner) candidates(now Now) []Member {
+	if !slices.ContainsFunc(o.members, func(m Member) bool { return m.Node != o.self && o.silent(now, m.Node) }) {
+		return o.members
+	}
 	return slices.DeleteFunc(slices.Clone(o.members), func(m Member) bool {
 		return m.Node != o.self && o.silent(now, m.Node)
 	})
@@ -346,6 +383,10 @@
 	if !o.writer.mayPropose(now) {
 		return nil
 	}
+	p := o.plan(now)
+	if !p.differs && len(p.claims) == 0 && len(o.outgoing) == 0 && !o.release && !o.leaving && !o.renewEpoch(now) {
+		return nil
+	}
 	next := o.view.Assignment.next("")
 	changed := o.planStandbys(now, &next)
 	changed = o.reclaim(now, &next) || changed
@@ -362,19 +403,18 @@
 // planStandbys replaces lost standbys at once and makes the standbys fit even
 // shares when the members have been stable.
 func (o *Owner) planStandbys(now Now, next *Assignment) bool {
-	candidates := o.candidates(now)
-	planned, differs := Plan(o.view.Assignment, candidates, o.self)
-	if !differs {
+	p := o.plan(now)
+	if !p.differs {
 		return false
 	}
 	stable := now.Mono-o.membersSince >= o.cfg.RebalanceDelay || !o.accepts()
 	changed := false
 	for i, r := range o.view.Assignment.Ranges {
-		to := planned.Ranges[i].Standby
+		to := p.planned.Ranges[i].Standby
 		if !o.mine(r) || to == r.Standby || o.moving(i, r.Standby) {
 			continue
 		}
-		lost := r.Standby == "" || !isCandidate(candidates, r.Standby)
+		lost := r.Standby == "" || !isCandidate(p.candidates, r.Standby)
 		if !lost && !stable {
 			continue
 		}
@@ -454,16 +494,13 @@
 	if !o.accepts() {
 		return changed
 	}
-	want := desired(o.view.Assignment, o.members)
-	for i, r := range o.view.Assignment.Ranges {
-		restarted := r.Owner == o.self && r.Standby == "" && r.OwnerIncarnation < o.incarnation
-		if r.Owner != "" && !restarted || want[i] != o.self {
-			continue
-		}
-		n := &next.Ranges[i]
+	for _, i := range o.plan(now).claims {
+		r, n := o.view.Assignment.Ranges[i], &next.Ranges[i]
 		n.Owner, n.OwnerIncarnation, n.Epoch = o.self, o.incarnation, next.Epoch
 		n.Standby = chooseStandby(o.service, i, "", o.self, o.members)
-		if restarted && now.Wall.After(n.FencedAt) {
+		// A claimed range of an earlier process of this node is fenced; a
+		// released one has been fenced by the release.
+		if r.Owner == o.self && now.Wall.After(n.FencedAt) {
 			n.FencedAt = now.Wall
 		}
 		changed = true
@@ -495,13 +532,14 @@
 
 // renewEpoch reports whether a standby can vouch only for a later epoch.
 func (o *Owner) renewEpoch(now Now) bool {
-	for _, r := range o.view.Assignment.Ranges {
-		g := o.grantors[r.Standby]
-		if o.mine(r) && g != nil && g.refusedAt == o.view.Assignment.Epoch && !o.promised(r.Standby, now) {
-			return true
-		}
+	asked := false
+	for node, g := range o.grantors {
+		asked = asked || g.refusedAt == o.view.Assignment.Epoch && !o.promised(node, now)
 	}
-	return false
+	return asked && slices.ContainsFunc(o.view.Assignment.Ranges, func(r Range) bool {
+		g := o.grantors[r.Standby]
+		return o.mine(r) && g != nil && g.refusedAt == o.view.Assignment.Epoch && !o.promised(r.Standby, now)
+	})
 }
 
 // ReleaseUnowned frees the ranges whose owner and standby are both missing
@@ -539,8 +577,8 @@
 	return indexes
 }
 
-func (o *Owner) reportUnowned() []Action {
-	indexes := unowned(o.view.Assignment, o.members)
+func (o *Owner) reportUnowned(now Now) []Action {
+	indexes := o.plan(now).unowned
 	if slices.Equal(indexes, o.unowned) || len(o.members) == 0 {
 		return nil
 	}
@@ -584,7 +622,7 @@
 	if o.writer.pending != nil || accepts && (o.writer.away || now.Mono-o.membersSince < o.cfg.RebalanceDelay) {
 		return nil
 	}
-	want := desired(o.view.Assignment, o.candidates(now))
+	want := o.plan(now).want
 	due := map[fleet.NodeID][]int{}
 	for i, r := range o.view.Assignment.Ranges {
 		_, frozen := o.frozen[i]
--- a/internal/operation/plan.go
+++ b/internal/operation/plan.go
@@ -24,7 +24,10 @@
 // member as its standby, which takes it over after a handover. An assignment
 // without ranges is not planned; see Create.
 func Plan(a Assignment, members []Member, self fleet.NodeID) (Assignment, bool) {
-	want := desired(a, members)
+	return planWith(a, desired(a, members), members, self)
+}
+
+func planWith(a Assignment, want []fleet.NodeID, members []Member, self fleet.NodeID) (Assignment, bool) {
 	next := a.next("")
 	changed := false
 	for i, r := range a.Ranges {
--- /dev/null
+++ b/internal/operation/schedule_test.go
@@ -0,0 +1,97 @@
+package operation
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+)
+
+func TestOperation(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "operation")
+}
+
+// Seeds of the ordinary tests and of a soak run.
+const (
+	ordinarySeeds = 2000
+	soakSeeds     = 100_000
+)
+
+// schedule returns the options of a random schedule: any mix of failures.
+func schedule(seed uint64, m mutation) simOptions {
+	opt := simOptions{seed: seed, mutation: m, length: 30 * time.Second, callers: 60}
+	for i, f := range allFaults {
+		if (seed*0x9e3779b97f4a7c15>>(20+2*i))&3 == 0 {
+			opt.faults = append(opt.faults, f)
+		}
+	}
+	return opt
+}
+
+// forSeeds runs the schedules on several goroutines and returns the finished
+// ones to visit in any order.
+func forSeeds(seeds uint64, options func(seed uint64) simOptions, visit func(seed uint64, s *sim)) {
+	next := make(chan uint64)
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for range min(runtime.GOMAXPROCS(0), 6) {
+		group.Go(func() {
+			for seed := range next {
+				s := newSim(options(seed))
+				s.run()
+				mu.Lock()
+				visit(seed, s)
+				mu.Unlock()
+			}
+		})
+	}
+	for seed := range seeds {
+		next <- seed + 1
+	}
+	close(next)
+	group.Wait()
+}
+
+var _ = Describe("random schedules", func() {
+	// Guards against every way in which an operation can run twice, or run
+	// after its caller was told that it did not.
+	It("runs each key at most once", func() {
+		seeds := uint64(ordinarySeeds)
+		if os.Getenv("SISKINVALE_SOAK") == "1" {
+			seeds = soakSeeds
+		}
+		var bad []string
+		answered, total, runs := 0, 0, 0
+		forSeeds(seeds, func(seed uint64) simOptions { return schedule(seed, correct) }, func(seed uint64, s *sim) {
+			for _, v := range s.violations() {
+				bad = append(bad, fmt.Sprintf("seed %d %v: %s", seed, s.opt.faults, v))
+			}
+			runs += len(s.runs)
+			for _, t := range s.told {
+				total++
+				if t.outcome == fleet.Answered {
+					answered++
+				}
+			}
+		})
+		fmt.Fprintf(GinkgoWriter, "%d schedules, %d operations ran, %d of %d statements answered\n", seeds, runs, answered, total)
+		Expect(bad).To(BeEmpty())
+		// Schedules in which nothing runs would prove nothing.
+		Expect(float64(answered) / float64(total)).To(BeNumerically(">", 0.4))
+	})
+})
+
+func BenchmarkSchedule(b *testing.B) {
+	for i := range b.N {
+		s := newSim(schedule(uint64(i+1), correct))
+		s.run()
+	}
+}
--- a/internal/operation/standby.go
+++ b/internal/operation/standby.go
@@ -75,6 +75,9 @@
 
 // Step handles one event.
 func (s *Standby) Step(now Now, ev Event) []Action {
+	if _, ok := ev.(GrantReceived); ok {
+		return nil // for the owner
+	}
 	actions, written := s.writer.step(now, ev)
 	if written != nil {
 		actions = append(actions, s.learn(now, *written)...)
@@ -276,7 +279,7 @@
 	if !s.writer.mayPropose(now) || s.view.Version == 0 {
 		return nil
 	}
-	next := s.view.Assignment.next("")
+	var next Assignment
 	var takings []taking
 	for i, r := range s.view.Assignment.Ranges {
 		if r.Standby != s.self || r.Owner == s.self || r.Owner == "" {
@@ -286,6 +289,9 @@
 		if !graceful && !s.lapsed(now, r.Owner) {
 			continue
 		}
+		if takings == nil {
+			next = s.view.Assignment.next("")
+		}
 		next.Ranges[i] = s.successor(now, i, r, graceful)
 		next.Ranges[i].Epoch = next.Epoch
 		at := slices.IndexFunc(takings, func(t taking) bool { return t.from == r.Owner })
--- a/internal/operation/table.go
+++ b/internal/operation/table.go
@@ -122,6 +122,19 @@
 	// RetryAfter is when a later request with the same key may run, with
 	// NotRun.
 	RetryAfter time.Duration
+	// NotRunUntil is set with NotRun after a refusal. An ingress whose wall
+	// clock is past it must answer Unknown: the caller may have sent another
+	// request meanwhile that was not refused.
+	NotRunUntil time.Time
+}
+
+// At returns the verdict as the ingress may state it at the wall time. An
+// answer that was under way for too long no longer proves NotRun.
+func (v Verdict) At(wall time.Time) Verdict {
+	if v.Kind == NotRun && !v.NotRunUntil.IsZero() && wall.After(v.NotRunUntil) {
+		return Verdict{Kind: Unknown, Reason: ReasonDelayed, Epoch: v.Epoch}
+	}
+	return v
 }
 
 // Outcome is the outcome that the owner states for the operation. NotOwner is
@@ -241,7 +254,7 @@
 		return Verdict{Kind: Unknown, Reason: ReasonDelayed, Epoch: epoch}
 	case created.After(wall.Add(t.cfg.Allowance)):
 		return t.refuse(rec, index, r, created, ReasonKeyInFuture, epoch)
-	case rec != nil && !r.ReceivedAt.After(rec.at.Add(t.cfg.Allowance)):
+	case rec != nil && !r.ReceivedAt.After(rec.at.Add(t.hold())):
 		return t.refuse(rec, index, r, created, ReasonRefused, epoch)
 	case rec == nil && !r.ReceivedAt.After(t.refusedBefore):
 		return t.refuse(nil, index, r, created, ReasonRefused, epoch)
@@ -283,9 +296,12 @@
 // full, and answers NotRun. Each refusal counts anew, because its caller is
 // told NotRun at this time.
 func (t *Table) refuse(rec *record, index int, r Request, created time.Time, reason Reason, epoch fleet.Epoch) Verdict {
-	v := Verdict{Kind: NotRun, Reason: reason, Epoch: epoch, RetryAfter: 2 * t.cfg.Allowance}
+	v := Verdict{
+		Kind: NotRun, Reason: reason, Epoch: epoch, RetryAfter: t.hold() + t.cfg.Allowance,
+		NotRunUntil: t.wall.Add(t.cfg.AnswerTime),
+	}
 	if rec == nil && len(t.records) >= t.cfg.MaxKeys {
-		t.refusedBefore = t.wall.Add(t.cfg.Allowance)
+		t.refusedBefore = t.wall.Add(t.hold())
 		return v
 	}
 	if rec == nil {
@@ -295,6 +311,13 @@
 	return v
 }
 
+// hold is how long after a refusal a request must have been received to run.
+// The ingress may tell the caller NotRun until AnswerTime after the refusal by
+// its own clock, which may be behind the owner's by one allowance; the clock of
+// the ingress that receives a later request may be ahead by one allowance of
+// the first ingress's clock.
+func (t *Table) hold() time.Duration { return t.cfg.AnswerTime + t.cfg.Allowance }
+
 // MayDispatch reports whether the execution r.Run may be handed to a target at
 // this moment: its record still stands and the lease is held. The caller must
 // dispatch at once or call Abandon.
@@ -597,7 +620,7 @@
 	// also be ahead of the clock when it is accepted. Each counts once.
 	t.expire(t.settled, t.cfg.RetryWindow+2*t.cfg.Allowance)
 	// After MaxDelay a request from before the refusal is Unknown by its age.
-	t.expire(t.refusals, t.cfg.MaxDelay+2*t.cfg.Allowance)
+	t.expire(t.refusals, t.cfg.MaxDelay+t.hold()+t.cfg.Allowance)
 	return t.wall
 }
 
