--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -421,6 +421,10 @@
 	return &controlv1.ExplainResponse{Service: r.Service, Class: "hint", BundleVersion: 2, Lines: []string{"class hint", "target t-1"}}, nil
 }
 
+func (n *fakeNode) ReleaseOperations(context.Context, *controlv1.ReleaseOperationsRequest) (*controlv1.ReleaseOperationsResponse, error) {
+	return &controlv1.ReleaseOperationsResponse{}, nil
+}
+
 func (n *fakeNode) SetLogLevel(context.Context, *controlv1.SetLogLevelRequest) (*controlv1.SetLogLevelResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, nil)
 }
--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -19,13 +19,6 @@
 	AuthRefused        = declare(1009, "auth-refused", logrus.WarnLevel, "a peer or operator without valid credentials was refused")
 )
 
-// Events of bundles on a node.
-var (
-	BundleInForce  = declare(2201, "bundle-in-force", logrus.InfoLevel, "a bundle version is in force on this node")
-	BundleRejected = declare(2202, "bundle-rejected", logrus.WarnLevel, "a bundle was not accepted")
-	BundleConflict = alarm(2203, "bundle-conflict", "two signed bundles have the same version and different content")
-)
-
 // Events of single requests.
 var (
 	AnswerCut = declare(5101, "answer-cut", logrus.WarnLevel, "an answer was cut short after its first byte; the caller's connection was broken")
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -40,7 +40,7 @@
 	case rollout.FetchPieces:
 		c.fetch(platformReadTimeout, func(ctx context.Context) rollout.Event { return c.fetchPieces(ctx, a) })
 	case rollout.Reject:
-		c.node.log.Log(event.BundleRejected, event.Fields{"from": a.From, "version": a.Version, "error": a.Err.Error()})
+		c.node.log.Log(event.BundleRefused, event.Fields{"from": a.From, "version": a.Version, "error": a.Err.Error()})
 	case rollout.Conflict:
 		c.node.log.Log(event.BundleConflict, event.Fields{
 			"from": a.From, "version": a.Version, "inForce": a.InForce, "different": a.Different,
@@ -105,7 +105,7 @@
 	}
 	c.newView = true
 	c.stepMembers(membership.BundleActivated{Version: a.Version})
-	c.node.log.Log(event.BundleInForce, event.Fields{"version": a.Version, "digest": a.Digest, "bundle": b.Name})
+	c.node.log.Log(event.BundleActivated, event.Fields{"version": a.Version, "digest": a.Digest, "bundle": b.Name})
 }
 
 // startSync exchanges the full state with the node at addr.
