Connect siskinvalectl with the platform client and the harness with siskinvalectl

Cause: the command line and the process harness were built against stand-in interfaces. Change: rollouts use platform.Client; the harness makes keys and rollouts with the real commands and scales floors to its small fleets, because a floor of a full fleet would forbid every ejection.

--- a/cmd/siskinvalectl/main.go
+++ b/cmd/siskinvalectl/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"os"
 	"os/signal"
@@ -19,7 +18,7 @@
 		Context:   ctx,
 		Stdout:    os.Stdout,
 		Stderr:    os.Stderr,
-		OpenStore: openStore,
+		OpenStore: ctl.OpenStore,
 		HTTP:      &http.Client{},
 		Now:       time.Now,
 		Sleep:     ctl.Sleep,
@@ -27,9 +26,3 @@
 	stop()
 	os.Exit(code)
 }
-
-// openStore will connect through internal/platform, which is not in the
-// repository yet.
-func openStore(string, string) (ctl.Store, error) {
-	return nil, errors.New("this build has no platform client")
-}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -16,6 +16,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"siskinvale.dev/siskinvale/internal/control/v1/controlv1connect"
+	"siskinvale.dev/siskinvale/internal/platform"
 )
 
 // Exit codes.
@@ -131,7 +132,7 @@
 	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeCanceled:
 		return ExitUnreachable
 	}
-	if errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUncertain) {
+	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUncertain) {
 		return ExitUnreachable
 	}
 	return ExitRefused
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/bundle"
+	"siskinvale.dev/siskinvale/internal/platform"
 )
 
 // Keys of the platform objects that hold bundles.
@@ -76,7 +77,7 @@
 		return err
 	}
 	active, err := p.get(ctx, activeKey)
-	if err != nil && !errors.Is(err, ErrNotFound) {
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
 	if bytes.Equal(active.Value, encoded) {
@@ -97,7 +98,7 @@
 }
 
 // newer refuses a version that is not above the active one.
-func newer(e *bundle.Envelope, active Object) error {
+func newer(e *bundle.Envelope, active platform.Object) error {
 	if active.Version == 0 {
 		return nil
 	}
@@ -114,7 +115,7 @@
 func (p *publisher) putPiece(ctx context.Context, name string, piece []byte) error {
 	stored, err := p.get(ctx, piecePrefix+name)
 	switch {
-	case errors.Is(err, ErrNotFound):
+	case errors.Is(err, platform.ErrNotFound):
 		return p.create(ctx, piecePrefix+name, piece)
 	case err != nil:
 		return err
@@ -129,7 +130,7 @@
 func (p *publisher) create(ctx context.Context, key string, value []byte) error {
 	return p.try(ctx, key, func(ctx context.Context) error {
 		_, err := p.store.Put(ctx, key, value, 0)
-		if !errors.Is(err, ErrConflict) {
+		if !errors.Is(err, platform.ErrConflict) {
 			return err
 		}
 		stored, err := p.store.Get(ctx, key)
@@ -155,8 +156,8 @@
 			}
 		}
 		_, err := p.store.Put(ctx, activeKey, value, ifVersion)
-		uncertain = uncertain || errors.Is(err, ErrUncertain)
-		if !errors.Is(err, ErrConflict) {
+		uncertain = uncertain || errors.Is(err, platform.ErrUncertain)
+		if !errors.Is(err, platform.ErrConflict) {
 			return err
 		}
 		_, err = p.settle(ctx, value, ifVersion)
@@ -178,7 +179,7 @@
 func (p *publisher) settle(ctx context.Context, value []byte, ifVersion uint64) (done bool, err error) {
 	stored, err := p.store.Get(ctx, activeKey)
 	switch {
-	case errors.Is(err, ErrNotFound) && ifVersion == 0:
+	case errors.Is(err, platform.ErrNotFound) && ifVersion == 0:
 		return false, nil
 	case err != nil:
 		return false, err
@@ -190,7 +191,7 @@
 	return false, lostTo(stored.Value, false)
 }
 
-func (p *publisher) get(ctx context.Context, key string) (object Object, err error) {
+func (p *publisher) get(ctx context.Context, key string) (object platform.Object, err error) {
 	err = p.try(ctx, key, func(ctx context.Context) error {
 		object, err = p.store.Get(ctx, key)
 		return err
@@ -203,7 +204,7 @@
 	wait := platformBackoff
 	for n := 1; ; n++ {
 		err := p.once(ctx, call)
-		if !errors.Is(err, ErrUncertain) && !errors.Is(err, ErrUnavailable) {
+		if !errors.Is(err, platform.ErrUncertain) && !errors.Is(err, platform.ErrUnavailable) {
 			return err
 		}
 		if n == platformTries {
@@ -225,7 +226,7 @@
 // fetch returns the content of a version that was rolled out.
 func (p *publisher) fetch(ctx context.Context, version uint64) ([]byte, error) {
 	stored, err := p.get(ctx, versionKey(version))
-	if errors.Is(err, ErrNotFound) {
+	if errors.Is(err, platform.ErrNotFound) {
 		return nil, refused("the platform has no version %d", version)
 	}
 	if err != nil {
@@ -259,7 +260,7 @@
 	}
 	for version := e.Manifest.Version + 1; ; version++ {
 		_, err := p.get(ctx, versionKey(version))
-		if errors.Is(err, ErrNotFound) {
+		if errors.Is(err, platform.ErrNotFound) {
 			return version, nil
 		}
 		if err != nil {
--- a/internal/ctl/store.go
+++ b/internal/ctl/store.go
@@ -2,31 +2,24 @@
 
 import (
 	"context"
-	"errors"
-)
+	"time"
 
-// Object is one versioned value of the platform.
-type Object struct {
-	Key     string
-	Version uint64
-	Value   []byte
-}
+	"siskinvale.dev/siskinvale/internal/platform"
+)
 
-// Store is the part of the platform's object API that rollouts use.
+// Store is the part of platform.Client that rollouts use. Its errors are those
+// of package platform.
 type Store interface {
-	// Get returns ErrNotFound or ErrUnavailable when it fails.
-	Get(ctx context.Context, key string) (Object, error)
-	// Put writes the value if the stored version is ifVersion; 0 creates. It
-	// returns ErrConflict when the version differs, ErrUncertain when no
-	// answer came and the write may have taken effect, and ErrUnavailable when
-	// nothing was written.
-	Put(ctx context.Context, key string, value []byte, ifVersion uint64) (Object, error)
+	Get(ctx context.Context, key string) (platform.Object, error)
+	Put(ctx context.Context, key string, value []byte, ifVersion uint64) (platform.Object, error)
 }
 
-// Errors of a Store.
-var (
-	ErrNotFound    = errors.New("object not found")
-	ErrConflict    = errors.New("object has another version")
-	ErrUncertain   = errors.New("no answer from the platform; the write may have taken effect")
-	ErrUnavailable = errors.New("platform is not available")
-)
+// OpenStore connects to the platform's object API. The budget suits one
+// operator who writes the pieces of a bundle.
+func OpenStore(address, token string) (Store, error) {
+	return platform.NewHTTP(address, token, platform.Budget{
+		Reads:   platform.Rate{PerSecond: 50, Burst: 200},
+		Writes:  platform.Rate{PerSecond: 20, Burst: 100},
+		MaxWait: time.Minute,
+	}), nil
+}
--- a/internal/processtest/ctl.go
+++ b/internal/processtest/ctl.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -45,22 +46,39 @@
 	if err := os.WriteFile(f.keys.operatorKeyToFile, []byte(f.keys.operator.Secret), 0o600); err != nil {
 		return err
 	}
+	f.keys.platformTokenFile = filepath.Join(f.dir, "platform.token")
+	if err := os.WriteFile(f.keys.platformTokenFile, []byte(f.keys.platformToken), 0o600); err != nil {
+		return err
+	}
 	if f.cfg.Bundle == "" {
 		return nil
 	}
-	for _, k := range []struct {
-		id   string
-		file *string
-		key  *trustedKey
-	}{{"author-1", &f.keys.authorFile, &f.keys.author}, {"approver-1", &f.keys.approverFile, &f.keys.approver}} {
-		*k.file = filepath.Join(f.dir, k.id+".key")
-		public, err := f.Ctl("keys", "new", "--id", k.id, "--out", *k.file)
-		if err != nil {
-			return err
-		}
-		*k.key = trustedKey{ID: k.id, PublicKey: strings.TrimSpace(public)}
+	b, err := readBundle(f.BundleFile())
+	if err != nil {
+		return err
 	}
-	return nil
+	if f.keys.author, f.keys.authorFile, err = f.makeKey("author", b.Signers.Authors[0]); err != nil {
+		return err
+	}
+	f.keys.approver, f.keys.approverFile, err = f.makeKey("approver", b.Signers.Approvers[0])
+	return err
+}
+
+// makeKey makes a signing key and returns its public part and the file of its
+// private part.
+func (f *Fleet) makeKey(role, id string) (public trustedKey, privateFile string, err error) {
+	out, err := f.Ctl("keys", "new", "--id", id, "--role", role, "--out", filepath.Join(f.dir, id), "--output", "json")
+	if err != nil {
+		return trustedKey{}, "", err
+	}
+	var made struct {
+		Public      string `json:"public"`
+		PrivateFile string `json:"privateFile"`
+	}
+	if err := json.Unmarshal([]byte(out), &made); err != nil {
+		return trustedKey{}, "", fmt.Errorf("output of keys new: %w", err)
+	}
+	return trustedKey{ID: id, PublicKey: made.Public}, made.PrivateFile, nil
 }
 
 func secret() string {
@@ -69,14 +87,29 @@
 	return hex.EncodeToString(raw)
 }
 
-// Rollout checks, signs, approves and rolls out a bundle file.
+// Rollout checks, signs, approves and rolls out a bundle file as the given
+// version, scaled to this fleet.
 func (f *Fleet) Rollout(file string, version uint64) error {
+	b, err := readBundle(file)
+	if err != nil {
+		return err
+	}
+	b.Version = version
+	scale(b, len(f.Nodes)*f.cfg.TargetsPerNode)
+	content, err := b.Encode()
+	if err != nil {
+		return err
+	}
+	file = filepath.Join(f.dir, fmt.Sprintf("bundle-%d.yaml", version))
+	if err := os.WriteFile(file, content, 0o600); err != nil {
+		return err
+	}
 	envelope := filepath.Join(f.dir, fmt.Sprintf("bundle-%d.envelope", version))
 	for _, args := range [][]string{
 		{"bundle", "check", file},
-		{"bundle", "sign", "--key", f.keys.authorFile, "--version", fmt.Sprint(version), "--out", envelope, file},
-		{"bundle", "approve", "--key", f.keys.approverFile, envelope},
-		{"bundle", "rollout", "--platform", f.Platform.URL, "--token", f.keys.platformToken, "--envelope", envelope, file},
+		{"bundle", "sign", "--key", f.keys.authorFile, "--out", envelope, file},
+		{"bundle", "approve", "--key", f.keys.approverFile, "--file", file, envelope},
+		append(f.ctlTarget(), "bundle", "rollout", "--no-wait", file, envelope),
 	} {
 		if _, err := f.Ctl(args...); err != nil {
 			return err
@@ -84,3 +117,18 @@
 	}
 	return nil
 }
+
+// ctlTarget returns the options that address this fleet's platform and a
+// running node.
+func (f *Fleet) ctlTarget() []string {
+	options := []string{
+		"--platform", strings.TrimPrefix(f.Platform.URL, "http://"), "--platform-token-file", f.keys.platformTokenFile,
+		"--operator-key-id", f.keys.operator.ID, "--operator-secret-file", f.keys.operatorKeyToFile,
+	}
+	for _, n := range f.Nodes {
+		if n.Process != nil && n.Running() {
+			return append(options, "--node", n.Operators)
+		}
+	}
+	return options
+}
--- a/internal/processtest/fleet.go
+++ b/internal/processtest/fleet.go
@@ -161,9 +161,11 @@
 	}
 	f.Kinds = f.cfg.Kinds
 	if f.cfg.Bundle != "" && f.Kinds == nil {
-		if f.Kinds, err = readKinds(f.BundleFile()); err != nil {
+		b, err := readBundle(f.BundleFile())
+		if err != nil {
 			return err
 		}
+		f.Kinds = kindsOf(b)
 		for i := range f.Kinds {
 			if f.Kinds[i].Long {
 				f.Kinds[i].Size = longBody
--- a/internal/processtest/settings.go
+++ b/internal/processtest/settings.go
@@ -58,6 +58,7 @@
 	approverFile      string
 	platformToken     string
 	operatorKeyToFile string
+	platformTokenFile string
 }
 
 func (f *Fleet) settings(n *Node) ([]byte, error) {
