Separate long work from short work in the harness's paths

Cause: long and short routes of catalog share the prefix /v1/serials/, so the target stand-in treated short calls as long ones and the demo refused their bodies.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -22,9 +22,9 @@
 
 	"siskinvale.dev/siskinvale/internal/auth"
 	"siskinvale.dev/siskinvale/internal/bundle"
-	"siskinvale.dev/siskinvale/internal/platform"
 	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
 	"siskinvale.dev/siskinvale/internal/control/v1/controlv1connect"
+	"siskinvale.dev/siskinvale/internal/platform"
 )
 
 func TestCtl(t *testing.T) {
--- a/internal/processtest/bundle.go
+++ b/internal/processtest/bundle.go
@@ -88,6 +88,11 @@
 					Keyed: class.IdempotencyKey == bundle.KeyRequired, Long: class.Length == fleet.Long,
 				}
 				kind.Prefix, kind.Suffix = splitPath(route.Path)
+				if kind.Long && kind.Suffix != noParameter {
+					// The target stand-in tells long work by the start of its path,
+					// which a route of short work may share.
+					kind.Prefix += "long-"
+				}
 				kinds = append(kinds, kind)
 				break
 			}
