Decide outcomes behind a fence truthfully and spare the retry budget for sent attempts

Cause: after a node was lost, operations that had waited for the takeover were told unknown although none of their attempts had been dispatched; and lookups were told not-run because connections refused by the dead node used up the retry budget of the class. Change: a reply says when its own call was not dispatched; a first request is then told not-run. Attempts that never left the ingress need no budget. Golden sessions of the ingress. The number of ranges and the retry window come from the bundle.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -43,7 +43,7 @@
 		doubt = doubt || reply.Outcome == fleet.Unknown
 		decision := retry.Decide(retry.Attempt{
 			Number: n, Max: req.class.Attempts, Idempotent: req.class.Idempotent, Streamed: req.stream != nil,
-			Outcome: reply.Outcome, Remaining: time.Until(req.deadline),
+			Unsent: !reply.Sent, Outcome: reply.Outcome, Remaining: time.Until(req.deadline),
 		}, budget, in.cfg.Clock())
 		if !decision.Retry || ctx.Err() != nil {
 			if doubt {
@@ -89,6 +89,12 @@
 	var reply *link.Reply
 	for range ownerAttempts {
 		reply = in.keyedAttempt(ctx, req)
+		if reply.Undispatched {
+			// The new owner of a lost VM's range does not know what the lost
+			// one ran. All attempts of this request were refused before, so the
+			// answer depends on whether there were earlier requests.
+			break
+		}
 		if reply.Outcome != fleet.NotRun || reply.FromOwner {
 			return reply
 		}
@@ -120,7 +126,9 @@
 // deliver hands the call to the sidecar of node, which may be this node's own.
 func (in *Ingress) deliver(ctx context.Context, view *View, node fleet.NodeID, length fleet.Length, call *link.Call) *link.Reply {
 	if node == in.cfg.Self {
-		return in.cfg.Local.Forward(ctx, call)
+		reply := in.cfg.Local.Forward(ctx, call)
+		reply.Sent = true
+		return reply
 	}
 	peer, ok := view.Nodes[node]
 	if !ok || peer.State == fleet.NodeDead {
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,289 @@
+package ingress_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+	"github.com/sirupsen/logrus"
+
+	"siskinvale.dev/siskinvale/internal/bundle"
+	"siskinvale.dev/siskinvale/internal/event"
+	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/health"
+	"siskinvale.dev/siskinvale/internal/ingress"
+	"siskinvale.dev/siskinvale/internal/link"
+	"siskinvale.dev/siskinvale/internal/metric"
+	"siskinvale.dev/siskinvale/internal/routing"
+)
+
+func TestIngress(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ingress")
+}
+
+const testBundle = `
+name: test
+version: 1
+signers: {authors: [a], approvers: [b]}
+dataCentres: [{name: dc1, region: r}]
+services:
+  - name: booking
+    slots: 4
+    expectedTargets: 3
+    floor: 1
+    operations: {ranges: 64, retryWindow: 10m}
+    classes:
+      - {name: lookup, idempotent: true, idempotencyKey: none, priority: interactive, length: short, deadline: 500ms, expected: 5ms, attempts: 3, maxBody: 1024}
+      - {name: hold, idempotent: false, idempotencyKey: required, priority: interactive, length: short, deadline: 300ms, expected: 5ms, attempts: 1, maxBody: 1024}
+      - {name: note, idempotent: false, idempotencyKey: optional, priority: interactive, length: short, deadline: 500ms, expected: 5ms, attempts: 1, maxBody: 100000}
+    routes:
+      - {method: GET, path: /kits/:id, class: lookup}
+      - {method: POST, path: /holds, class: hold}
+      - {method: POST, path: /notes, class: note}
+tenants:
+  default: {requestsPerSecond: 1000, burst: 1000, weight: 1}
+  named: [{name: small, requestsPerSecond: 1, burst: 1, weight: 1}]
+`
+
+// script answers forwarded calls in order and records them.
+type script struct {
+	mu      sync.Mutex
+	replies []func(call *link.Call) *link.Reply
+	calls   []string
+	bodies  []string
+}
+
+func (s *script) Forward(_ context.Context, node fleet.Node, _ fleet.Length, call *link.Call) *link.Reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	body, _ := io.ReadAll(call.Body)
+	s.bodies = append(s.bodies, string(body))
+	reply := s.replies[min(len(s.calls), len(s.replies)-1)](call)
+	s.calls = append(s.calls, fmt.Sprintf("%s %s: %s %s", call.Method, call.Path, reply.Outcome, reply.Reason))
+	return reply
+}
+
+type owners struct{ refreshed int }
+
+func (o *owners) Locate(_, _, _ string) (fleet.NodeID, fleet.Epoch, bool) { return "n1", 3, true }
+func (o *owners) Refresh(string, fleet.Epoch)                             { o.refreshed++ }
+
+func answered(body string) func(*link.Call) *link.Reply {
+	return func(c *link.Call) *link.Reply {
+		return &link.Reply{
+			AttemptID: c.AttemptID, Outcome: fleet.Answered, Sent: true, Status: 200, Header: http.Header{"X-From": {"target"}},
+			ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)), Load: fleet.Load{Slots: 4},
+		}
+	}
+}
+
+// cutAnswer promises more than its body holds.
+func cutAnswer(length int64) func(*link.Call) *link.Reply {
+	return func(c *link.Call) *link.Reply {
+		reply := answered("ha")(c)
+		reply.ContentLength = length
+		reply.Body = io.NopCloser(io.MultiReader(strings.NewReader("ha"), failing{}))
+		return reply
+	}
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, errors.New("connection lost") }
+
+// refused is a refusal by a sidecar, unsent one without any connection.
+func refused(reason string) func(*link.Call) *link.Reply {
+	return func(c *link.Call) *link.Reply {
+		r := link.Refused(c, reason)
+		r.Sent = true
+		return r
+	}
+}
+
+func unsent(reason string) func(*link.Call) *link.Reply {
+	return func(c *link.Call) *link.Reply { return link.Refused(c, reason) }
+}
+
+func fromOwner(reply func(*link.Call) *link.Reply) func(*link.Call) *link.Reply {
+	return func(c *link.Call) *link.Reply {
+		r := reply(c)
+		r.FromOwner = true
+		return r
+	}
+}
+
+func doubtful(reason string) func(*link.Call) *link.Reply {
+	return func(c *link.Call) *link.Reply { return link.Doubtful(c, reason) }
+}
+
+func fenced(c *link.Call) *link.Reply {
+	r := link.Doubtful(c, "an earlier owner may have run the key")
+	r.FromOwner, r.Undispatched = true, true
+	return r
+}
+
+// session is one ingress in front of three scripted targets.
+type session struct {
+	in     *ingress.Ingress
+	script *script
+	owners *owners
+}
+
+func newSession(replies ...func(*link.Call) *link.Reply) *session {
+	b, findings := bundle.Parse("test", []byte(testBundle))
+	Expect(findings).To(BeEmpty())
+	logger := logrus.New()
+	logger.SetOutput(GinkgoWriter)
+	s := &session{script: &script{replies: replies}, owners: &owners{}}
+	s.in = ingress.New(ingress.Config{
+		Self: "self", Remote: s.script, Owners: s.owners, Log: event.NewLogger(logger, nil),
+		Metrics: metric.NewSet(), Clock: time.Now, InFlight: 100,
+	})
+	self := fleet.Node{ID: "self", DataCentre: "dc1"}
+	nodes := map[fleet.NodeID]fleet.Node{}
+	var targets []fleet.Target
+	for _, id := range []string{"1", "2", "3"} {
+		nodes[fleet.NodeID("n"+id)] = fleet.Node{ID: fleet.NodeID("n" + id), DataCentre: "dc1"}
+		targets = append(targets, fleet.Target{
+			ID: fleet.TargetID("t" + id), Service: "booking", Node: fleet.NodeID("n" + id), DataCentre: "dc1", Slots: 4,
+			Started: time.Now().Add(-time.Hour),
+		})
+	}
+	healthy := func(fleet.TargetID) health.Verdict { return health.Verdict{Share: 1} }
+	picker := routing.NewTable(self, routing.Config{}).Rebuild("booking", targets, healthy, time.Now())
+	s.in.SetView(&ingress.View{Bundle: b, Pickers: map[string]*routing.Picker{"booking": picker}, Nodes: nodes})
+	return s
+}
+
+func (s *session) send(method, path, body string, header ...string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(method, path, strings.NewReader(body))
+	req.Header.Set("Siskinvale-Service", "booking")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	s.in.ServeHTTP(w, req)
+	return w
+}
+
+func key() string { return uuid.Must(uuid.NewV7()).String() }
+
+var _ = Describe("Ingress", func() {
+	It("keeps its sessions as the golden file shows them", func() {
+		var trace strings.Builder
+		run := func(name string, s *session, method, path, body string, header ...string) {
+			w := s.send(method, path, body, header...)
+			fmt.Fprintf(&trace, "%s\n", name)
+			for _, call := range s.script.calls {
+				fmt.Fprintf(&trace, "  attempt: %s\n", strings.TrimSpace(call))
+			}
+			fmt.Fprintf(&trace, "  caller: %d %s\n", w.Code, w.Header().Get("Siskinvale-Outcome"))
+		}
+		run("lookup answered at once", newSession(answered("ok")), "GET", "/kits/1", "")
+		run("lookup after two refusals", newSession(refused("full"), refused("full"), answered("ok")), "GET", "/kits/1", "")
+		run("lookup without connections to two nodes", newSession(unsent("unreachable"), unsent("unreachable"), answered("ok")), "GET", "/kits/1", "")
+		run("lookup after a lost connection", newSession(doubtful("connection lost"), answered("ok")), "GET", "/kits/1", "")
+		run("lookup after a truncated answer", newSession(cutAnswer(100), answered("ok")), "GET", "/kits/1", "")
+		run("lookup without an answer", newSession(doubtful("connection lost")), "GET", "/kits/1", "")
+		run("non-idempotent request in doubt is not sent again", newSession(doubtful("connection lost"), answered("ok")), "POST", "/notes", "x")
+		run("non-idempotent request with a truncated answer", newSession(cutAnswer(100), answered("ok")), "POST", "/notes", "x")
+		run("operation answered", newSession(fromOwner(answered("ok"))), "POST", "/holds", "x", "Idempotency-Key", key())
+		run("operation in doubt is not sent again", newSession(doubtful("connection lost"), answered("ok")), "POST", "/holds", "x", "Idempotency-Key", key(), "Siskinvale-Attempt", "1")
+		run("operation refused by its owner", newSession(fromOwner(refused("full"))), "POST", "/holds", "x", "Idempotency-Key", key())
+		run("operation finds its new owner", newSession(refused("no lease"), fromOwner(answered("ok"))), "POST", "/holds", "x", "Idempotency-Key", key())
+		run("first request of an operation behind a fence", newSession(refused("no lease"), fenced), "POST", "/holds", "x", "Idempotency-Key", key(), "Siskinvale-Attempt", "1")
+		run("repeated request of an operation behind a fence", newSession(refused("no lease"), fenced), "POST", "/holds", "x", "Idempotency-Key", key())
+		goldie.New(GinkgoTB()).Assert(GinkgoTB(), "sessions", []byte(trace.String()))
+	})
+
+	// Guards against "not run" for an operation whose earlier request ran: an
+	// ingress that does not reach the owner cannot know.
+	It("says not-run for an unreachable owner only to a first request", func() {
+		first := newSession(refused("unreachable")).send("POST", "/holds", "x", "Idempotency-Key", key(), "Siskinvale-Attempt", "1")
+		Expect(first.Header().Get("Siskinvale-Outcome")).To(Equal("not-run"))
+		again := newSession(refused("unreachable")).send("POST", "/holds", "x", "Idempotency-Key", key())
+		Expect(again.Header().Get("Siskinvale-Outcome")).To(Equal("unknown"))
+	})
+
+	// Guards against a second attempt that sends an empty or partial body.
+	It("sends the whole body with each attempt and streams large ones once", func() {
+		s := newSession(refused("full"), refused("full"), answered("ok"))
+		s.send("GET", "/kits/1", "small body")
+		Expect(s.script.bodies).To(Equal([]string{"small body", "small body", "small body"}))
+		large := strings.Repeat("x", 90_000)
+		s = newSession(refused("full"), answered("ok"))
+		w := s.send("POST", "/notes", large)
+		Expect(s.script.bodies).To(Equal([]string{large}))
+		Expect(w.Code).To(Equal(503))
+	})
+
+	// Guards against an answer cut short that ends like a whole one.
+	It("breaks the connection when a streamed answer is cut short", func() {
+		s := newSession(cutAnswer(-1))
+		Expect(func() { s.send("GET", "/kits/1", "") }).To(PanicWith(http.ErrAbortHandler))
+	})
+
+	It("retries at most a tenth of the requests when every attempt fails", func() {
+		s := newSession(doubtful("connection lost"))
+		const requests = 300
+		for range requests {
+			s.send("GET", "/kits/1", "")
+		}
+		Expect(len(s.script.calls)).To(BeNumerically("<=", requests+requests/10+10))
+	})
+
+	It("explains malformed requests", func() {
+		s := newSession(answered("ok"))
+		for _, c := range []struct {
+			status int
+			detail string
+			w      *httptest.ResponseRecorder
+		}{
+			{404, "unknown service", s.send("GET", "/kits/1", "", "Siskinvale-Service", "nowhere")},
+			{404, "no route", s.send("GET", "/nothing", "")},
+			{400, "needs an Idempotency-Key", s.send("POST", "/holds", "x")},
+			{400, "not a UUIDv7", s.send("POST", "/holds", "x", "Idempotency-Key", "42")},
+			{400, "not a duration", s.send("GET", "/kits/1", "", "Siskinvale-Timeout", "soon")},
+			{413, "larger than", s.send("POST", "/holds", strings.Repeat("x", 2000), "Idempotency-Key", key())},
+			{400, "longer than", s.send("GET", "/kits/1", "", "Siskinvale-Tenant", strings.Repeat("x", 200))},
+		} {
+			Expect(c.w.Code).To(Equal(c.status), c.detail)
+			Expect(c.w.Body.String()).To(ContainSubstring(c.detail))
+			Expect(c.w.Header().Get("Content-Type")).To(Equal("application/problem+json"))
+		}
+		Expect(s.script.calls).To(BeEmpty())
+	})
+
+	It("limits a tenant and says when to come back", func() {
+		s := newSession(answered("ok"))
+		Expect(s.send("GET", "/kits/1", "", "Siskinvale-Tenant", "small").Code).To(Equal(200))
+		w := s.send("GET", "/kits/1", "", "Siskinvale-Tenant", "small")
+		Expect(w.Code).To(Equal(429))
+		Expect(w.Header().Get("Retry-After")).To(Equal("1"))
+		Expect(w.Header().Get("Siskinvale-Outcome")).To(Equal("not-run"))
+	})
+
+	It("does not pass hop-by-hop headers on", func() {
+		s := newSession(func(c *link.Call) *link.Reply {
+			r := answered("ok")(c)
+			r.Header.Set("Connection", "X-Hop")
+			r.Header.Set("X-Hop", "1")
+			return r
+		})
+		w := s.send("GET", "/kits/1", "")
+		Expect(w.Header()).NotTo(HaveKey("X-Hop"))
+		Expect(w.Header().Get("X-From")).To(Equal("target"))
+	})
+})
--- a/internal/ingress/limit.go
+++ b/internal/ingress/limit.go
@@ -22,7 +22,7 @@
 	// that retries cannot amplify a surge.
 	retryRatio = 0.1
 	// retriesPerSecond lets a class with few requests retry at all.
-	retriesPerSecond = 1
+	retriesPerSecond = 3
 )
 
 // tenantLimiter holds a token bucket for each tenant seen lately.
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -55,6 +55,9 @@
 	// FromOwner reports that the owner of a keyed operation decided the
 	// outcome. Its NotRun covers earlier and delayed requests with the same key.
 	FromOwner bool
+	// Undispatched reports that this call was not dispatched although the
+	// outcome of its operation is unknown.
+	Undispatched bool
 	// Mismatch reports that the key was used before for other content.
 	Mismatch bool
 	// RetryAfter is when a refused call may succeed; 0 if not known.
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -37,12 +37,13 @@
 	headerPath         = "Siskinvale-Path"
 	headerOperationKey = "Siskinvale-Operation-Key"
 
-	headerReason    = "Siskinvale-Reason"
-	headerMisrouted = "Siskinvale-Misrouted"
-	headerFromOwner = "Siskinvale-From-Owner"
-	headerMismatch  = "Siskinvale-Key-Mismatch"
-	headerRetry     = "Siskinvale-Retry-After"
-	headerLoad      = "Siskinvale-Load"
+	headerReason       = "Siskinvale-Reason"
+	headerMisrouted    = "Siskinvale-Misrouted"
+	headerFromOwner    = "Siskinvale-From-Owner"
+	headerMismatch     = "Siskinvale-Key-Mismatch"
+	headerUndispatched = "Siskinvale-Undispatched"
+	headerRetry        = "Siskinvale-Retry-After"
+	headerLoad         = "Siskinvale-Load"
 )
 
 // hopByHop are the headers that concern one connection only, by RFC 9110
@@ -160,6 +161,9 @@
 	if r.Misrouted {
 		h.Set(headerMisrouted, "1")
 	}
+	if r.Undispatched {
+		h.Set(headerUndispatched, "1")
+	}
 	if r.Mismatch {
 		h.Set(headerMismatch, "1")
 	}
@@ -185,6 +189,7 @@
 		Misrouted:     h.Get(headerMisrouted) != "",
 		FromOwner:     h.Get(headerFromOwner) != "",
 		Mismatch:      h.Get(headerMismatch) != "",
+		Undispatched:  h.Get(headerUndispatched) != "",
 		RetryAfter:    time.Duration(retry) * time.Millisecond,
 		Load:          parseLoad(h.Get(headerLoad)),
 		Sent:          true,
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -289,4 +289,3 @@
 	}
 	return count
 }
-
--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -96,6 +96,7 @@
 		reply.Misrouted = true
 	case operation.NotRun, operation.Unknown:
 		reply.FromOwner = true
+		reply.Undispatched = verdict.Reason == operation.ReasonFenced
 	case operation.Mismatch:
 		reply.FromOwner, reply.Mismatch = true, true
 	default:
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -41,6 +41,8 @@
 		c.pickers[service] = c.routing.Rebuild(service, targets, c.health.Verdict, time.Now())
 	}
 	if c.keyed(service) {
+		operations := c.bundle.Service(service).Operations
+		c.node.operations.Configure(service, operations.Ranges, operations.RetryWindow.Std())
 		c.node.operations.SetMembers(service, c.operationMembers(targets))
 	}
 }
--- a/internal/operation/manager.go
+++ b/internal/operation/manager.go
@@ -89,6 +89,7 @@
 // service is the state of one service on this node.
 type service struct {
 	name string
+	cfg  Config
 	mu   sync.Mutex
 	// table, owner and standby are nil on a node that has no target of the
 	// service; such a node only knows the view.
@@ -169,6 +170,16 @@
 	return v, ok
 }
 
+// Configure sets the number of ranges of a service and its retry window. It
+// has an effect on a node that has not taken part in the service yet; the
+// ranges of an existing assignment stay as they are.
+func (m *Manager) Configure(name string, ranges int, retryWindow time.Duration) {
+	s := m.service(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg.Ranges, s.cfg.RetryWindow = ranges, retryWindow
+}
+
 // SetMembers replaces the members of a service: all nodes beside a target of
 // it. Lost nodes are left out; leaving nodes and nodes whose targets are all
 // unhealthy or draining have Accepts false.
@@ -198,10 +209,10 @@
 // join creates the machines of a service. The caller holds s.mu.
 func (m *Manager) join(s *service) {
 	leases := &ownerLeases{}
-	s.table = NewTable(s.name, m.cfg, leases)
-	s.owner = NewOwner(s.name, m.cfg, m.self, m.incarnation, s.table.RunningIn)
+	s.table = NewTable(s.name, s.cfg, leases)
+	s.owner = NewOwner(s.name, s.cfg, m.self, m.incarnation, s.table.RunningIn)
 	leases.Owner = s.owner
-	s.standby = NewStandby(s.name, m.cfg, m.self, m.incarnation, m.clock.Now())
+	s.standby = NewStandby(s.name, s.cfg, m.self, m.incarnation, m.clock.Now())
 }
 
 // ownerLeases breaks the cycle between a table and its owner machine.
@@ -402,7 +413,7 @@
 	defer m.mu.Unlock()
 	s := m.services[name]
 	if s == nil {
-		s = &service{name: name, waiters: map[recordKey]chan struct{}{}, outgoing: map[fleet.NodeID]*controlMessages{}}
+		s = &service{name: name, cfg: m.cfg, waiters: map[recordKey]chan struct{}{}, outgoing: map[fleet.NodeID]*controlMessages{}}
 		m.services[name] = s
 	}
 	return s
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -18,7 +18,11 @@
 	Idempotent  bool
 	// Streamed is true when the first byte of an answer was sent to the caller.
 	Streamed bool
-	Outcome  fleet.Outcome
+	// Unsent is true when the attempt never left this node, for example
+	// because no connection could be made. Its repetition adds no load
+	// anywhere else, so the budget does not apply.
+	Unsent  bool
+	Outcome fleet.Outcome
 	// Remaining is the time to the caller's deadline.
 	Remaining time.Duration
 }
@@ -54,7 +58,7 @@
 		return Decision{Reason: ReasonAttempts}
 	case a.Remaining <= 0:
 		return Decision{Reason: ReasonDeadline}
-	case !b.Withdraw(now):
+	case !a.Unsent && !b.Withdraw(now):
 		return Decision{Reason: ReasonBudget}
 	case a.Outcome == fleet.NotRun:
 		return Decision{Retry: true, Reason: ReasonNotRun}
