--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -101,6 +101,7 @@
 	outcome := fleet.Answered
 	if problem != nil {
 		outcome = problem.outcome
+		setDeadlines(w, start.Add(writeGrace))
 		writeProblem(w, req, problem)
 	} else {
 		outcome = in.serve(w, r, req)
@@ -112,6 +113,7 @@
 func (in *Ingress) serve(w http.ResponseWriter, r *http.Request, req *request) fleet.Outcome {
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
+	setDeadlines(w, req.deadline)
 	if err := req.readBody(r); err != nil {
 		problem := bodyProblem(req, err)
 		writeProblem(w, req, problem)
@@ -130,6 +132,23 @@
 	return fleet.Answered
 }
 
+// writeGrace is how long after the deadline a caller may take to read the end
+// of its answer. A caller that stops reading would otherwise hold a slot of the
+// target for ever.
+const writeGrace = 5 * time.Second
+
+// setDeadlines bounds how long the caller may take to send its body and to
+// read its answer.
+//
+// net/http keeps a write deadline for the later requests of a connection, so
+// every request sets its own.
+func setDeadlines(w http.ResponseWriter, deadline time.Time) {
+	controller := http.NewResponseController(w)
+	// A writer without deadlines, as in tests, has no slow caller behind it.
+	_ = controller.SetReadDeadline(deadline)
+	_ = controller.SetWriteDeadline(deadline.Add(writeGrace))
+}
+
 // answerCut breaks the caller's connection visibly, because an answer that was
 // cut short after its first byte can no longer be taken back.
 func (in *Ingress) answerCut(req *request, err error) {
