Treat a platform call that runs out of time as uncertain

A client that reports only an ended context made the rollout exit with 1 as if it had been refused. The tests let calls hang.

--- a/internal/bundle/reader_test.go
+++ b/internal/bundle/reader_test.go
@@ -61,6 +61,15 @@
 		Expect(cut).To(BeNumerically(">", 20), "versions that were cut")
 	})
 
+	// Guards against examples that operators copy and that are parsed slowly.
+	It("cuts the examples", func() {
+		for _, file := range examples {
+			r := new(Reader)
+			r.Parse(file, read(file))
+			Expect(r.services).To(HaveLen(2))
+		}
+	})
+
 	It("cuts bundles of the planned size, and parses only changed services again", func() {
 		content := planned(100, 15)
 		r := new(Reader)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -131,8 +131,10 @@
 	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeCanceled:
 		return ExitUnreachable
 	}
-	if errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUncertain) {
-		return ExitUnreachable
+	for _, away := range []error{ErrUnavailable, ErrUncertain, context.Canceled, context.DeadlineExceeded} {
+		if errors.Is(err, away) {
+			return ExitUnreachable
+		}
 	}
 	return ExitRefused
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -51,6 +51,7 @@
 	away
 	lostRequest
 	lostAnswer
+	hung // like lostAnswer, but the client reports only that its time is up
 )
 
 func newFakeStore() *fakeStore {
@@ -68,7 +69,7 @@
 	return object, nil
 }
 
-func (s *fakeStore) Put(_ context.Context, key string, value []byte, ifVersion uint64) (Object, error) {
+func (s *fakeStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (Object, error) {
 	f := s.fault("put", key)
 	switch {
 	case f == away:
@@ -88,8 +89,12 @@
 		Expect(err).NotTo(HaveOccurred())
 		s.history = append(s.history, e.Manifest.Version)
 	}
-	if f == lostAnswer {
+	switch f {
+	case lostAnswer:
 		return Object{}, ErrUncertain
+	case hung:
+		<-ctx.Done()
+		return Object{}, ctx.Err()
 	}
 	return s.objects[key], nil
 }
@@ -302,11 +307,13 @@
 				}
 				return none
 			}
-			Expect(ada.rollout()).To(Equal(ExitOK))
+			Expect(ada.rollout("--call-timeout", "50ms")).To(Equal(ExitOK))
 			Expect(once).To(BeFalse())
 			Expect(store.history).To(Equal([]uint64{1, 2}))
 		},
 		Entry("after the update of the active version", lostAnswer, activeKey),
+		Entry("when the update of the active version hangs", hung, activeKey),
+		Entry("when the creation of a piece hangs", hung, piecePrefix),
 		Entry("before the update of the active version", lostRequest, activeKey),
 		Entry("after the version was created", lostAnswer, versionPrefix),
 		Entry("after a piece was created", lostAnswer, piecePrefix),
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -155,7 +155,8 @@
 			}
 		}
 		_, err := p.store.Put(ctx, activeKey, value, ifVersion)
-		uncertain = uncertain || errors.Is(err, ErrUncertain)
+		// Any other error, such as an ended context, proves nothing either.
+		uncertain = uncertain || err != nil && !errors.Is(err, ErrConflict) && !errors.Is(err, ErrUnavailable)
 		if !errors.Is(err, ErrConflict) {
 			return err
 		}
@@ -219,7 +220,11 @@
 func (p *publisher) once(ctx context.Context, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
-	return call(ctx)
+	err := call(ctx)
+	if errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, ErrUncertain) {
+		return fmt.Errorf("%w: %w", ErrUncertain, err)
+	}
+	return err
 }
 
 // fetch returns the content of a version that was rolled out.
