--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -132,8 +132,10 @@
 	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeCanceled:
 		return ExitUnreachable
 	}
-	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUncertain) {
-		return ExitUnreachable
+	for _, away := range []error{platform.ErrUnavailable, platform.ErrUncertain, context.Canceled, context.DeadlineExceeded} {
+		if errors.Is(err, away) {
+			return ExitUnreachable
+		}
 	}
 	return ExitRefused
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -85,7 +85,7 @@
 	if view.Bundle == nil {
 		return req, req.notRun(http.StatusServiceUnavailable, "no bundle is in force on this node yet")
 	}
-	service, class, ok := view.Bundle.Match(req.service, r.Method, r.URL.Path)
+	service, class, ok := view.Bundle.Match(req.service, r.Method, r.URL.EscapedPath())
 	if !ok {
 		return req, req.unmatched(view.Bundle)
 	}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -100,7 +100,7 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
 	resp := &controlv1.ExplainResponse{Service: req.GetService(), BundleVersion: s.node.control.version.Load()}
-	service, class, ok := view.Bundle.Match(req.GetService(), req.GetMethod(), path.Path)
+	service, class, ok := view.Bundle.Match(req.GetService(), req.GetMethod(), path.EscapedPath())
 	if !ok {
 		resp.Lines = []string{"no service and route match this request: answered 404, not-run"}
 		return resp, nil
--- a/internal/node/verifier.go
+++ b/internal/node/verifier.go
@@ -10,8 +10,12 @@
 
 // verifier checks envelopes against the keys of the settings. It implements
 // rollout.Verifier.
+//
+// It keeps what the last bundle was parsed into: a new version costs the
+// control goroutine the services that changed, not the whole document.
 type verifier struct {
 	keyring atomic.Pointer[bundle.Keyring]
+	reader  bundle.Reader // used by the control goroutine alone
 }
 
 func newVerifier(t config.Trust) (*verifier, error) {
@@ -63,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b, _, err := e.Open(*v.keyring.Load(), pieces)
+	b, _, err := e.OpenWith(&v.reader, *v.keyring.Load(), pieces)
 	if err != nil {
 		return nil, err
 	}
