Check that the schedule harness finds deliberate faults

Cause: a harness that cannot see the faults proves nothing. Change: owners that skip epoch and lease, ingresses that retry on unknown, and a fleet without ownership run on the same schedules.

--- a/internal/operation/schedule_test.go
+++ b/internal/operation/schedule_test.go
@@ -95,3 +95,28 @@
 		s.run()
 	}
 }
+
+// firstViolation returns the first seed of at most n whose schedule violates
+// the properties under the mutation, and what was found.
+func firstViolation(n uint64, m mutation) (uint64, string) {
+	for seed := uint64(1); seed <= n; seed++ {
+		s := newSim(schedule(seed, m))
+		s.run()
+		if found := s.violations(); len(found) > 0 {
+			return seed, found[0]
+		}
+	}
+	return 0, ""
+}
+
+// Guards against a harness that cannot see the faults it is there for.
+var _ = DescribeTable("a mutation is found",
+	func(m mutation, within int) {
+		seed, found := firstViolation(uint64(within), m)
+		fmt.Fprintf(GinkgoWriter, "found with seed %d: %s\n", seed, found)
+		Expect(seed).NotTo(BeZero())
+	},
+	Entry("owner skips its epoch and lease check", skipChecks, 200),
+	Entry("ingress retries on unknown", retryUnknown, 200),
+	Entry("no ownership", noOwnership, 20),
+)
--- a/internal/operation/sim_test.go
+++ b/internal/operation/sim_test.go
@@ -654,7 +654,7 @@
 		})
 		wait := deadline - s.now
 		if s.opt.mutation == retryUnknown {
-			wait /= 2
+			wait = min(wait, 300*time.Millisecond)
 		}
 		n.after(wait, func() {
 			if open && s.opt.mutation == retryUnknown {
