--- /dev/null
+++ b/internal/operation/bench_test.go
@@ -0,0 +1,130 @@
+package operation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+)
+
+// BenchmarkUnknownShare reports, for each kind of failure, which share of all
+// statements to callers was "unknown", and which share of the keys ran more
+// than once; beside them the same figures of a fleet without ownership. Each
+// iteration runs one schedule of 30 s per fleet.
+func BenchmarkUnknownShare(b *testing.B) {
+	kinds := append([]fault{"none"}, allFaults...)
+	for _, kind := range kinds {
+		b.Run(string(kind), func(b *testing.B) {
+			figures := map[mutation]*shareFigures{correct: {}, noOwnership: {}}
+			for i := range b.N {
+				for m, f := range figures {
+					opt := simOptions{seed: uint64(i + 1), mutation: m, length: 30 * time.Second, callers: 100, plain: true}
+					if kind != "none" {
+						opt.faults = []fault{kind}
+					}
+					f.add(opt)
+				}
+			}
+			own, naive := figures[correct], figures[noOwnership]
+			b.ReportMetric(own.percent(own.unknown, own.told), "unknown_%")
+			b.ReportMetric(own.percent(own.twice, own.keys), "ran_twice_%")
+			b.ReportMetric(own.percent(own.notRun, own.told), "not_run_%")
+			b.ReportMetric(naive.percent(naive.unknown, naive.told), "naive_unknown_%")
+			b.ReportMetric(naive.percent(naive.twice, naive.keys), "naive_ran_twice_%")
+		})
+	}
+}
+
+type shareFigures struct{ told, unknown, notRun, keys, twice int }
+
+func (f *shareFigures) add(opt simOptions) {
+	s := newSim(opt)
+	s.run()
+	for _, t := range s.told {
+		f.told++
+		switch t.outcome {
+		case fleet.Unknown:
+			f.unknown++
+		case fleet.NotRun:
+			f.notRun++
+		}
+	}
+	for _, runs := range s.runs {
+		f.keys++
+		if len(runs) > 1 {
+			f.twice++
+		}
+	}
+}
+
+func (*shareFigures) percent(part, whole int) float64 {
+	return 100 * float64(part) / float64(max(whole, 1))
+}
+
+// BenchmarkTable measures the decisions about one operation that runs.
+func BenchmarkTable(b *testing.B) {
+	cfg := DefaultConfig()
+	lease := &held{ok: true}
+	table := NewTable("s", cfg, lease)
+	now := Now{Wall: simEpoch}
+	table.Assign(now, View{Version: 1, Assignment: Create("s", cfg.Ranges, nil, "a", 1)}, "a", 1)
+	body := []byte("answer")
+	b.ReportAllocs()
+	for i := range b.N {
+		now.Wall = now.Wall.Add(20 * time.Millisecond)
+		r := Request{Key: keyAt(now.Wall, uint64(i)), ReceivedAt: now.Wall}
+		v := table.Submit(now, r)
+		if v.Kind != Run {
+			b.Fatalf("%v %v", v.Kind, v.Reason)
+		}
+		r.Run = v.Run
+		if !table.MayDispatch(now, r) {
+			b.Fatal("no lease")
+		}
+		table.Complete(now, r, Answer{Status: 200, Body: body})
+	}
+}
+
+// BenchmarkTick measures the control work of one service: a tick of both
+// machines with 256 ranges and 24 members, of which this node owns its share.
+func BenchmarkTick(b *testing.B) {
+	s := newSim(simOptions{seed: 1, nodes: 24, length: 60 * time.Second, script: func(s *sim) {
+		s.cfg.Ranges = 256
+		for _, n := range s.nodes {
+			s.world(0, n.start)
+		}
+	}})
+	s.run()
+	n := s.nodes[0]
+	if owns := n.svc.owns(); owns == 0 {
+		b.Fatal("the node owns nothing")
+	}
+	b.ReportMetric(float64(n.svc.owns()), "ranges")
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		n.m.apply(n.svc, Tick{})
+	}
+	b.ReportMetric(float64(n.svc.owns()), "ranges")
+}
+
+func BenchmarkLocate(b *testing.B) {
+	m := NewManager("a", 1, DefaultConfig(), nil, nil, NewClock(), nil)
+	value, err := Create("s", 256, nil, "a", 1).Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := m.LearnAssignment(Object{Key: ObjectKey("s"), Version: 1, Value: value}); err != nil {
+		b.Fatal(err)
+	}
+	key := Key{Service: "s", Tenant: "t", Value: keyAt(simEpoch, 1).Value}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, _, ok := m.Locate(key); !ok {
+				panic(fmt.Sprint("unknown ", key))
+			}
+		}
+	})
+}
--- a/internal/operation/lease.go
+++ b/internal/operation/lease.go
@@ -57,11 +57,12 @@
 		Sequence    uint64
 	}
 	// HandOverDone is the standby's answer to the last message of a handover,
-	// or Accepted false when there was none.
+	// or neither Accepted nor Refused when there was none.
 	HandOverDone struct {
 		To       fleet.NodeID
 		Epoch    fleet.Epoch
 		Accepted bool
+		Refused  bool
 	}
 	// HandOverReceived is one message of a handover to this node.
 	HandOverReceived struct {
--- a/internal/operation/owner.go
+++ b/internal/operation/owner.go
@@ -36,6 +36,7 @@
 	epoch    fleet.Epoch
 	retryAt  time.Duration
 	sending  bool
+	refused  bool // by the standby; the ranges are reclaimed at once
 }
 
 // Owner keeps the leases of the ranges that one process owns, replaces lost
@@ -46,26 +47,27 @@
 // range may be the one that can take over. The owner then needs the promises
 // of both.
 type Owner struct {
-	service      string
-	cfg          Config
-	self         fleet.NodeID
-	incarnation  uint64
-	running      func(index int) int
-	writer       writer
-	view         View
-	missing      bool
-	members      []Member
-	membersSince time.Duration
-	grantors     map[fleet.NodeID]*grantor
-	frozen       map[int]fleet.Epoch // handed over in this epoch
-	outgoing     map[fleet.NodeID]*outgoing
-	sequence     uint64
-	release      bool
-	leaving      bool
-	lastStep     time.Duration
-	holdOff      map[fleet.NodeID]time.Duration
-	unowned      []int
-	cached       plan
+	service     string
+	cfg         Config
+	self        fleet.NodeID
+	incarnation uint64
+	running     func(index int) int
+	writer      writer
+	view        View
+	missing     bool
+	members     []Member
+	// stableSince is when the members last changed or ranges were gained.
+	stableSince time.Duration
+	grantors    map[fleet.NodeID]*grantor
+	frozen      map[int]fleet.Epoch // handed over in this epoch
+	outgoing    map[fleet.NodeID]*outgoing
+	sequence    uint64
+	release     bool
+	leaving     bool
+	lastStep    time.Duration
+	holdOff     map[fleet.NodeID]time.Duration
+	unowned     []int
+	cached      plan
 }
 
 // NewOwner returns the machine of a process that starts now. running returns
@@ -130,16 +132,16 @@
 	o.lastStep = now.Mono
 	actions, written := o.writer.step(now, ev)
 	if written != nil {
-		actions = append(actions, o.learn(*written)...)
+		actions = append(actions, o.learn(now, *written)...)
 	}
 	switch e := ev.(type) {
 	case MembersChanged:
 		if !slices.Equal(e.Members, o.members) {
-			o.members, o.membersSince = slices.Clone(e.Members), now.Mono
+			o.members, o.stableSince = slices.Clone(e.Members), now.Mono
 		}
 	case AssignmentRead:
 		o.missing = e.Missing && e.FromPlatform && o.view.Version == 0
-		actions = append(actions, o.learn(e.View)...)
+		actions = append(actions, o.learn(now, e.View)...)
 	case GrantReceived:
 		actions = append(actions, o.granted(now, e)...)
 	case HandOverDone:
@@ -182,7 +184,7 @@
 }
 
 // learn adopts a newer view.
-func (o *Owner) learn(v View) []Action {
+func (o *Owner) learn(now Now, v View) []Action {
 	if v.Version <= o.view.Version {
 		return nil
 	}
@@ -196,7 +198,13 @@
 			if i < len(old) && o.mine(old[i]) {
 				lost = append(lost, i)
 			}
-		} else if epoch, ok := o.frozen[i]; ok && r.Epoch > epoch {
+			continue
+		}
+		if i >= len(old) || !o.mine(old[i]) {
+			// The former owner may be leaving without this node knowing it yet.
+			o.stableSince = now.Mono
+		}
+		if epoch, ok := o.frozen[i]; ok && r.Epoch > epoch {
 			// The old handover is void, because the standby checks the epoch.
 			delete(o.frozen, i)
 		}
@@ -293,7 +301,7 @@
 	wanted := o.plan(now).grantors
 	for node := range o.grantors {
 		if !slices.Contains(wanted, node) {
-			if o.silent(now, node) && now.Mono-o.grantors[node].heard < 2*o.cfg.Promise {
+			if o.silent(now, node) && now.Mono-o.grantors[node].heard < 2*o.cfg.StandbyLostAfter {
 				continue // remembered as silent for a while
 			}
 			delete(o.grantors, node)
@@ -407,7 +415,7 @@
 	if !p.differs {
 		return false
 	}
-	stable := now.Mono-o.membersSince >= o.cfg.RebalanceDelay || !o.accepts()
+	stable := now.Mono-o.stableSince >= o.cfg.RebalanceDelay || !o.accepts()
 	changed := false
 	for i, r := range o.view.Assignment.Ranges {
 		to := p.planned.Ranges[i].Standby
@@ -453,7 +461,8 @@
 	changed := false
 	for to, out := range o.outgoing {
 		lost := o.silent(now, to) || !slices.ContainsFunc(o.members, func(m Member) bool { return m.Node == to })
-		if !out.sent || now.Mono-out.sentAt < o.cfg.ReclaimAfter || !o.accepts() && !lost {
+		due := out.refused || now.Mono-out.sentAt >= o.cfg.ReclaimAfter && (o.accepts() || lost)
+		if !out.sent || !due {
 			continue
 		}
 		for _, i := range out.indexes {
@@ -619,7 +628,7 @@
 // due returns the ranges that can be handed over now, by standby.
 func (o *Owner) due(now Now) map[fleet.NodeID][]int {
 	accepts := o.accepts()
-	if o.writer.pending != nil || accepts && (o.writer.away || now.Mono-o.membersSince < o.cfg.RebalanceDelay) {
+	if o.writer.pending != nil || accepts && (o.writer.away || now.Mono-o.stableSince < o.cfg.RebalanceDelay) {
 		return nil
 	}
 	want := o.plan(now).want
@@ -642,6 +651,7 @@
 		return nil
 	}
 	out.sending = false
+	out.refused = e.Refused
 	out.retryAt = now.Mono + o.cfg.PlatformRetry
 	if e.Accepted {
 		// The standby writes now; ask again only if nothing has changed by
--- a/internal/operation/peers.go
+++ b/internal/operation/peers.go
@@ -87,12 +87,12 @@
 	s.mu.Unlock()
 	done := HandOverDone{To: a.To, Epoch: a.Epoch}
 	if c != nil && c.epoch == a.Epoch {
-		done.Accepted = m.sendMessages(ctx, s, a, c.messages)
+		done.Accepted, done.Refused = m.sendMessages(ctx, s, a, c.messages)
 	}
 	m.step(s, done)
 }
 
-func (m *Manager) sendMessages(ctx context.Context, s *service, a SendHandOver, messages []*controlv1.HandOverRequest) bool {
+func (m *Manager) sendMessages(ctx context.Context, s *service, a SendHandOver, messages []*controlv1.HandOverRequest) (accepted, refused bool) {
 	for _, req := range messages {
 		ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 		answer, err := m.peers.HandOver(ctx, a.To, req)
@@ -103,11 +103,11 @@
 		}
 		if err != nil || !answer.GetAccepted() {
 			m.log.Log(event.HandOverFailed, event.Fields{"service": s.name, "to": a.To, "reason": reason})
-			return false
+			return false, err == nil
 		}
 	}
 	m.log.Log(event.HandOverSent, event.Fields{"service": s.name, "to": a.To, "ranges": len(a.Indexes)})
-	return true
+	return true, false
 }
 
 // ServeHandOver answers a peer's HandOver.
--- a/internal/operation/standby.go
+++ b/internal/operation/standby.go
@@ -144,6 +144,8 @@
 	}
 	h := s.handovers[e.From]
 	switch {
+	case slices.ContainsFunc(s.members, func(m Member) bool { return m.Node == s.self && !m.Accepts }):
+		return refuse("this node accepts no work")
 	case h != nil && e.Epoch < h.epoch:
 		return refuse("a later handover has begun")
 	case h != nil && h.last && h.epoch == e.Epoch && h.incarnation == e.Incarnation:
--- /dev/null
+++ b/internal/operation/table_test.go
@@ -0,0 +1,229 @@
+package operation
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+)
+
+// held is a lease that a test sets.
+type held struct{ ok bool }
+
+func (h *held) Holds(int, Now) (fleet.Epoch, bool) { return 1, h.ok }
+
+// keyAt returns the n-th key that was created at the time.
+func keyAt(t time.Time, n uint64) Key {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(t.UnixMilli())<<16)
+	binary.BigEndian.PutUint64(id[8:], n)
+	id[6], id[8] = 0x70, id[8]&0x3f|0x80
+	return Key{Service: "s", Tenant: "t", Value: id.String()}
+}
+
+var _ = Describe("Key", func() {
+	It("reads the creation time of a UUIDv7 only", func() {
+		t := time.UnixMilli(1_800_000_000_123)
+		created, ok := keyAt(t, 1).Created()
+		Expect(ok).To(BeTrue())
+		Expect(created).To(BeTemporally("==", t))
+		// The example of RFC 9562, appendix A.6.
+		created, ok = Key{Value: "017F22E2-79B0-7CC3-98C4-DC0C0C07398F"}.Created()
+		Expect(ok).To(BeTrue())
+		Expect(created.UTC()).To(Equal(time.Date(2022, 2, 22, 19, 22, 22, 0, time.UTC)))
+		for _, value := range []string{"", "order-17", uuid.Nil.String(), "919108f7-52d1-4320-9bac-f847db4148a8", "{017F22E2-79B0-7CC3-98C4-DC0C0C07398F}"} {
+			_, ok := Key{Value: value}.Created()
+			Expect(ok).To(BeFalse(), value)
+		}
+	})
+
+	// Guards against keys whose parts run into each other.
+	It("separates service, tenant and value", func() {
+		Expect(Key{"a", "bc", "d"}.Range(1 << 30)).NotTo(Equal(Key{"ab", "c", "d"}.Range(1 << 30)))
+	})
+})
+
+var _ = Describe("Table", func() {
+	var (
+		table *Table
+		lease *held
+		now   Now
+		cfg   Config
+	)
+	own := func(fencedAt time.Time) {
+		table.Assign(now, View{Version: table.version + 1, Assignment: Assignment{Ranges: []Range{{Owner: "a", OwnerIncarnation: 1, FencedAt: fencedAt}}}}, "a", 1)
+	}
+	request := func(n uint64) Request {
+		return Request{Key: keyAt(now.Wall, n), Fingerprint: 1, ReceivedAt: now.Wall}
+	}
+	pass := func(d time.Duration) { now.Mono += d; now.Wall = now.Wall.Add(d) }
+	start := func(r *Request) {
+		v := table.Submit(now, *r)
+		ExpectWithOffset(1, v.Kind).To(Equal(Run))
+		r.Run = v.Run
+	}
+	BeforeEach(func() {
+		now = Now{Mono: time.Hour, Wall: simEpoch}
+		cfg = DefaultConfig()
+		cfg.Ranges = 1
+		lease = &held{ok: true}
+		table = NewTable("s", cfg, lease)
+		own(time.Time{})
+	})
+
+	// Guards rule 7: a repeated key must never run again.
+	It("replays the first answer and waits for a running one", func() {
+		r := request(1)
+		start(&r)
+		Expect(table.Submit(now, r).Kind).To(Equal(Wait))
+		Expect(table.MayDispatch(now, r)).To(BeTrue())
+		table.Complete(now, r, Answer{Status: 201, Body: []byte("ok")})
+		v := table.Submit(now, r)
+		Expect(v.Kind).To(Equal(Replay))
+		Expect(v.Answer.Body).To(Equal([]byte("ok")))
+		other := r
+		other.Fingerprint = 2
+		Expect(table.Submit(now, other).Kind).To(Equal(Mismatch))
+	})
+
+	// Guards rule 7 against a key that runs again after its record expired.
+	It("never runs a key again, however old", func() {
+		r := request(1)
+		r.Key = keyAt(now.Wall.Add(cfg.Allowance), 1) // the latest creation time that is accepted
+		start(&r)
+		table.Complete(now, r, Answer{Status: 200})
+		for range 3000 {
+			pass(time.Second)
+			r.ReceivedAt = now.Wall
+			Expect(table.Submit(now, r).Kind).To(BeElementOf(Replay, Unknown))
+		}
+		Expect(table.Len()).To(BeZero())
+	})
+
+	It("says unknown with the status when an answer is too large", func() {
+		r := request(1)
+		start(&r)
+		table.Complete(now, r, Answer{Status: 200, Body: make([]byte, cfg.MaxAnswer+1)})
+		v := table.Submit(now, r)
+		Expect([]any{v.Kind, v.Reason, v.Status}).To(Equal([]any{Unknown, ReasonAnswerNotHeld, 200}))
+	})
+
+	It("says unknown after a dispatch without an answer", func() {
+		r := request(1)
+		start(&r)
+		table.Fail(now, r)
+		Expect(table.Submit(now, r).Kind).To(Equal(Unknown))
+	})
+
+	// Guards rules 1 and 2: a paused owner must notice the lost lease.
+	It("dispatches nothing without a lease", func() {
+		r := request(1)
+		start(&r)
+		lease.ok = false
+		Expect(table.MayDispatch(now, r)).To(BeFalse())
+		Expect(table.Abandon(now, r).Kind).To(Equal(NotOwner))
+		Expect(table.Submit(now, request(2)).Kind).To(Equal(NotOwner))
+	})
+
+	// Guards rule 4, at the exact border of the fence.
+	It("never runs keys that a lost owner may have run", func() {
+		own(now.Wall)
+		r := request(1)
+		border := now.Wall.Add(2 * cfg.Allowance)
+		pass(2 * time.Second)
+		r.ReceivedAt = now.Wall
+		r.Key = keyAt(border, 1)
+		Expect(table.Submit(now, r)).To(HaveField("Reason", ReasonFenced))
+		r.Key = keyAt(border.Add(2*time.Millisecond), 1)
+		Expect(table.Submit(now, r).Kind).To(Equal(Run))
+	})
+
+	// Guards rule 6: a delayed copy must not run after "not run" was told.
+	It("refuses copies that were received before a refusal, and runs later ones", func() {
+		r := request(1)
+		start(&r)
+		v := table.Abandon(now, r)
+		Expect(v.Kind).To(Equal(NotRun))
+		pass(5 * time.Second)
+		Expect(table.Submit(now, r).Kind).To(Equal(NotRun))
+		pass(v.RetryAfter + time.Millisecond)
+		r.ReceivedAt = now.Wall
+		Expect(table.Submit(now, r).Kind).To(Equal(Run))
+	})
+
+	It("refuses keys from the future", func() {
+		r := request(1)
+		r.Key = keyAt(now.Wall.Add(cfg.Allowance+2*time.Millisecond), 1)
+		Expect(table.Submit(now, r)).To(HaveField("Reason", ReasonKeyInFuture))
+	})
+
+	// Guards against a clock that is set back and revives an old key.
+	It("keeps its wall clock when the node's is set back", func() {
+		r := request(1)
+		pass(cfg.RetryWindow + time.Minute)
+		table.Submit(now, request(2))
+		now.Wall = simEpoch
+		Expect(table.Submit(now, r).Kind).To(Equal(Unknown))
+	})
+
+	// Guards the memory bounds, and rule 6 when no record can be kept.
+	It("refuses new keys when full, forgets none, and bounds answers", func() {
+		cfg.MaxKeys, cfg.MaxAnswers = 10, 3000
+		table = NewTable("s", cfg, lease)
+		own(time.Time{})
+		for n := range uint64(10) {
+			r := request(n)
+			start(&r)
+			table.Complete(now, r, Answer{Status: 200, Body: make([]byte, 1000)})
+		}
+		Expect(table.AnswerBytes()).To(Equal(3000))
+		delayed := request(10)
+		Expect(table.Submit(now, delayed)).To(HaveField("Reason", ReasonFull))
+		Expect(table.Len()).To(Equal(10))
+		Expect(table.Submit(now, request(0)).Kind).To(Equal(Unknown))
+		Expect(table.Submit(now, request(9)).Kind).To(Equal(Replay))
+		// Room again, but the delayed copy was told "not run".
+		for _, rec := range table.records {
+			table.remove(rec)
+			break
+		}
+		Expect(table.Submit(now, delayed).Kind).To(Equal(NotRun))
+	})
+
+	// Guards rule 5: a handover must lose neither answers nor refusals.
+	It("hands its records over", func() {
+		done, failedRun, runningOne, refusedOne := request(1), request(2), request(3), request(4)
+		for _, r := range []*Request{&done, &failedRun, &runningOne, &refusedOne} {
+			start(r)
+		}
+		table.Complete(now, done, Answer{Status: 200, Header: map[string]string{"A": "b"}, Body: []byte("x")})
+		table.Fail(now, failedRun)
+		table.Abandon(now, refusedOne)
+		var records []Record
+		for _, r := range table.Snapshot([]int{0}) {
+			records = append(records, decodeRecord(encodeRecord(r)))
+		}
+		table = NewTable("s", cfg, lease)
+		table.Install(now, records)
+		own(time.Time{})
+		v := table.Submit(now, done)
+		Expect(v.Answer).To(Equal(Answer{Status: 200, Header: map[string]string{"A": "b"}, Body: []byte("x")}))
+		Expect(table.Submit(now, failedRun).Kind).To(Equal(Unknown))
+		Expect(table.Submit(now, runningOne).Kind).To(Equal(Unknown))
+		Expect(table.Submit(now, refusedOne).Kind).To(Equal(NotRun))
+		Expect(table.Submit(now, request(5)).Kind).To(Equal(Run))
+	})
+
+	It("refuses keys without a creation time and requests that were delayed for long", func() {
+		r := request(1)
+		r.Key.Value = "order-17"
+		Expect(table.Submit(now, r)).To(HaveField("Reason", ReasonKeyFormat))
+		r = request(1)
+		r.ReceivedAt = now.Wall.Add(-cfg.MaxDelay - time.Second)
+		Expect(table.Submit(now, r)).To(HaveField("Reason", ReasonDelayed))
+	})
+})
