--- /dev/null
+++ b/internal/operation/plan_test.go
@@ -0,0 +1,111 @@
+package operation
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+)
+
+// settle lets every member apply its plan and complete its handovers until
+// nothing changes, and returns the number of ranges that changed owners.
+func settle(t *rapid.T, a Assignment, members []Member) (Assignment, int) {
+	moved := 0
+	for range 200 {
+		changed := false
+		for _, m := range members {
+			next, ok := Plan(a, members, m.Node)
+			a, changed = next, changed || ok
+			want := desired(a, members)
+			for i, r := range a.Ranges {
+				if r.Owner == m.Node && want[i] == r.Standby && r.Standby != "" {
+					a = a.next("")
+					a.Ranges[i].Owner, a.Ranges[i].Standby = r.Standby, chooseStandby(a.Service, i, "", r.Standby, members)
+					changed = true
+					moved++
+				}
+			}
+		}
+		if !changed {
+			return a, moved
+		}
+	}
+	t.Fatal("the plan does not come to rest")
+	return a, moved
+}
+
+var _ = Describe("Plan", func() {
+	members := func(n int) []Member {
+		var all []Member
+		for i := range n {
+			all = append(all, Member{Node: fleet.NodeID(fmt.Sprintf("n%02d", i)), DataCentre: fmt.Sprint(i % 3), Accepts: true})
+		}
+		return all
+	}
+
+	// Guards against uneven shares, needless moves, plans that never come to
+	// rest, and a standby in the owner's data centre.
+	It("ends with even shares after the fewest moves", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			before := rapid.IntRange(1, 12).Draw(t, "before")
+			ranges := rapid.IntRange(1, 64).Draw(t, "ranges")
+			a, _ := settle(t, Create("s", ranges, members(before), "n00", 1), members(before))
+			all := members(before)
+			what := rapid.SampledFrom([]string{"join", "drain", "none"}).Draw(t, "what")
+			switch what {
+			case "join":
+				all = members(before + 1)
+			case "drain":
+				all[rapid.IntRange(0, before-1).Draw(t, "who")].Accepts = before == 1
+			}
+			b, moved := settle(t, a, all)
+			accepting := acceptingMembers(all)
+			count := map[fleet.NodeID]int{}
+			dataCentre := map[fleet.NodeID]string{}
+			for _, m := range all {
+				dataCentre[m.Node] = m.DataCentre
+			}
+			for i, r := range b.Ranges {
+				count[r.Owner]++
+				if len(accepting) > 1 && (r.Standby == "" || r.Standby == r.Owner) {
+					t.Fatalf("range %d has owner %s and standby %q", i, r.Owner, r.Standby)
+				}
+				if len(accepting) > 2 && dataCentre[r.Standby] == dataCentre[r.Owner] && before > 4 {
+					t.Fatalf("range %d has owner %s and standby %s in the same data centre", i, r.Owner, r.Standby)
+				}
+			}
+			for _, m := range accepting {
+				if n := count[m.Node]; n < ranges/len(accepting) || n > ranges/len(accepting)+1 {
+					t.Fatalf("%s owns %d of %d ranges with %d members", m.Node, n, ranges, len(accepting))
+				}
+			}
+			most := ranges/before + 1
+			if what == "none" {
+				most = 0
+			}
+			if what == "drain" {
+				most *= 2 // to the standby, and once more for even shares
+			}
+			if moved > most {
+				t.Fatalf("%s moved %d ranges, at most %d are needed", what, moved, most)
+			}
+		})
+	})
+
+	It("reads back what it wrote", func() {
+		a := Create("s", 64, members(5), "n00", 7)
+		a.Ranges[3].FencedAt = simEpoch
+		value, err := a.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		b, err := DecodeAssignment(value)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.Ranges[3].FencedAt).To(BeTemporally("==", simEpoch))
+		b.Ranges[3].FencedAt = simEpoch
+		Expect(b).To(Equal(a))
+		_, err = DecodeAssignment([]byte(`{"service":"s"}`))
+		Expect(err).To(HaveOccurred())
+	})
+})
