--- a/internal/membership/budget.go
+++ b/internal/membership/budget.go
@@ -16,10 +16,15 @@
 	bulk sendClass = iota
 	// state news are changes of a node's state.
 	state
-	// check is an indirect probe or the check of a rumour.
-	check
-	// probing is a regular probe.
+	// probing is a regular probe. When this node has no tokens for it, others
+	// still probe.
 	probing
+	// check is what an open doubt about a node needs: requests to helpers and
+	// the check of a rumour.
+	check
+	// helping is a ping on behalf of another node, which may have no other
+	// helper.
+	helping
 	// answering is the answer to a probe.
 	answering
 )
@@ -34,7 +39,7 @@
 // leave half of the bucket for the faults that may come next; probes and answers
 // may be paid for in advance.
 func (m *Machine) reserve(class sendClass) int {
-	seconds := [...]float64{bulk: 2, state: 0, check: 0, probing: -1, answering: -2}
+	seconds := [...]float64{bulk: 2, state: 0, check: 0, probing: 0.5, helping: -1, answering: -2}
 	return int(seconds[class] * float64(m.cfg.BytesPerSecond))
 }
 
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -79,7 +79,7 @@
 	lastTick  time.Time
 	nextProbe time.Time
 	turn      int
-	impaired  int // rises when own probes need helpers, up to maxImpaired
+	impaired  int // rises when helpers reach what this node does not, up to maxImpaired
 	sequence  uint64
 	probes    []*probe
 	forwards  []forward
@@ -87,6 +87,7 @@
 	rechecks  []recheck
 	recent    []*peer // last senders, latest first
 	answered  *peer   // the last node that answered a probe
+	helper    *peer   // the last node that reached any target for this one
 	lastHeard time.Time
 
 	nextReconnect time.Time
@@ -439,6 +440,9 @@
 	if m.answered == p {
 		m.answered = nil
 	}
+	if m.helper == p {
+		m.helper = nil
+	}
 	for _, q := range m.ring {
 		if q.helper == p {
 			q.helper = nil
@@ -546,5 +550,6 @@
 			live++
 		}
 	}
-	return fmt.Sprintf("%s: %d nodes, %d live, %d suspected", m.self.node.ID, len(m.ring), live, len(m.suspects))
+	return fmt.Sprintf("%s: %d nodes, %d live, %d suspected, %d%% of a second's budget left", m.self.node.ID, len(m.ring), live,
+		len(m.suspects), int(100*m.tokens)/m.cfg.BytesPerSecond)
 }
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -39,12 +39,18 @@
 	// maxForwards bounds the pings in flight on behalf of others.
 	maxForwards = 256
 	// maxImpaired bounds how much a node that reaches others by helpers only
-	// slows down its probes: by a factor of four. Otherwise the probes of a
+	// slows down its probes: by a factor of eight. Otherwise the probes of a
 	// node behind a cut would use up the budget of its few helpers.
-	maxImpaired = 3
-	// indirectRest is how long a peer is not probed after a helper reached it,
-	// for the same reason.
-	indirectRest = time.Second
+	maxImpaired = 7
+	// ringRest and randomRest are how long a peer is not probed in ring turns
+	// and in random turns after a helper reached it, for the same reason. All
+	// nodes probe at random, but only its neighbour probes it in ring turns.
+	ringRest   = 2 * time.Second
+	randomRest = 10 * time.Second
+	// helperTrust is how long the helper that reached a peer is asked first and
+	// alone. All nodes probe a node behind a cut, and the answers to many
+	// helpers would use up its budget.
+	helperTrust = time.Minute
 	// rechecksPerTick paces the pings after a full-state exchange.
 	rechecksPerTick = 4
 )
@@ -63,27 +69,29 @@
 		relays := m.remoteRelays()
 		target := m.successor(relays)
 		if m.turn%4 == 1 {
-			target = m.randomPeer(relays, m.due)
+			target = m.randomPeer(relays, m.dueAtRandom)
 		}
 		if target != nil {
 			m.probe(target, false)
 			return
 		}
 	}
-	m.probe(m.randomPeer(m.reach(), m.due), false)
+	m.probe(m.randomPeer(m.reach(), m.dueAtRandom), false)
 }
 
-// due reports whether a regular probe of p makes sense.
-func (m *Machine) due(p *peer) bool {
-	return p != m.self && p.trusted() && m.now.Sub(p.indirectAt) >= indirectRest
+// due reports whether p may be probed, given the rest after an indirect answer.
+func (m *Machine) due(p *peer, rest time.Duration) bool {
+	return p != m.self && p.trusted() && m.now.Sub(p.indirectAt) >= rest
 }
 
+func (m *Machine) dueAtRandom(p *peer) bool { return m.due(p, randomRest) }
+
 // successor returns the next peer on the ring that is not in doubt.
 func (m *Machine) successor(list []*peer) *peer {
 	first := position(list, m.self.hash, m.self.node.ID)
 	for i := range list {
 		p := list[(first+i)%len(list)]
-		if m.due(p) && !m.waiting(p) {
+		if m.due(p, ringRest) && !m.waiting(p) {
 			return p
 		}
 	}
@@ -176,11 +184,16 @@
 		// Others found the same meanwhile, and all nodes check it.
 		pr.next = time.Time{}
 	case pr.round == 1:
-		m.ping(pr.target, pr.sequence, check)
-		// The next node on the ring may have failed together with this one.
-		m.probe(m.successor(m.reach()), false)
+		if h := pr.target.helper; h != nil && h.usable() && m.now.Sub(pr.target.indirectAt) < helperTrust {
+			m.askHelpers(pr, 1)
+		} else {
+			m.ping(pr.target, pr.sequence, check)
+		}
+		if m.impaired == 0 {
+			// The next node on the ring may have failed together with this one.
+			m.probe(m.successor(m.reach()), false)
+		}
 	case pr.round == 2:
-		m.impaired = min(m.impaired+1, maxImpaired)
 		m.askHelpers(pr, m.cfg.IndirectProbes)
 	default:
 		m.askHelpers(pr, m.cfg.WideProbes)
@@ -203,14 +216,14 @@
 }
 
 // helpers chooses nodes to be asked about the target of a probe: the one that
-// reached it before, the one that answered this node last, the one heard last,
-// and random ones.
+// reached it before, the one that helped last with any target, the one that
+// answered this node last, the one heard last, and random ones.
 func (m *Machine) helpers(pr *probe, count int) []*peer {
 	var chosen []*peer
 	suitable := func(p *peer) bool {
 		return p != nil && p != pr.target && m.exceptSelf(p) && !contains(chosen, p) && !contains(pr.asked, p)
 	}
-	preferred := []*peer{pr.target.helper, m.answered}
+	preferred := []*peer{pr.target.helper, m.helper, m.answered}
 	if len(m.recent) > 0 {
 		preferred = append(preferred, m.recent[0])
 	}
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"time"
+
 	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
 	"siskinvale.dev/siskinvale/internal/fleet"
 )
@@ -98,8 +100,10 @@
 		m.probes = append(m.probes[:i], m.probes[i+1:]...)
 		m.answered = sender
 		if sender != pr.target {
-			pr.target.helper, pr.target.indirectAt = sender, m.now
+			m.impaired = min(m.impaired+1, maxImpaired)
+			m.helper, pr.target.helper, pr.target.indirectAt = sender, sender, m.now
 		} else {
+			pr.target.indirectAt = time.Time{}
 			m.impaired = max(m.impaired-1, 0)
 		}
 		if pr.target.suspected {
@@ -149,7 +153,7 @@
 		sequence: m.sequence, target: target, origin: origin, answer: r.GetSequence(),
 		expires: m.now.Add(m.cfg.ProbeTimeout),
 	})
-	m.ping(target, m.sequence, probing)
+	m.ping(target, m.sequence, helping)
 }
 
 func (m *Machine) dropForwards() {
@@ -170,11 +174,13 @@
 	m.noteJoined()
 	for _, n := range e.Nodes {
 		p := m.peers[fleet.NodeID(n.GetId())]
-		state := stateFromProto(n.GetState())
-		if p != nil && p != m.self && n.GetIncarnation() >= p.node.Incarnation && m.verifies(p) {
-			aliveHere, aliveThere := p.usable() && !p.suspected, state == fleet.NodeAlive || state == fleet.NodeLeaving
-			contradicts := aliveHere && !aliveThere || !p.usable() && aliveThere && n.GetIncarnation() == p.node.Incarnation
-			if contradicts {
+		if p != nil && p != m.self && contradicts(p, n) {
+			if !m.verifies(p) {
+				// The relays settle it.
+				m.spread(p, rumour(p), stateRank, push)
+				continue
+			}
+			if n.GetIncarnation() >= p.node.Incarnation {
 				m.rechecks = append(m.rechecks, recheck{p, n.GetIncarnation()})
 				continue
 			}
@@ -184,6 +190,17 @@
 	}
 }
 
+// contradicts reports whether a record and p differ on whether the node lives
+// although neither is plainly newer.
+func contradicts(p *peer, n *controlv1.Node) bool {
+	state := stateFromProto(n.GetState())
+	livesThere := state == fleet.NodeAlive || state == fleet.NodeLeaving
+	if p.usable() {
+		return !p.suspected && !livesThere
+	}
+	return livesThere && n.GetIncarnation() <= p.node.Incarnation
+}
+
 // apply takes one record of another node. quiet keeps it from being passed on.
 func (m *Machine) apply(record *controlv1.Node, quiet bool) {
 	if record.GetId() == "" {
@@ -294,11 +311,16 @@
 		// A node that comes back may be one side of a healed cut.
 		m.syncOnDemand(n.PeerAddr)
 	}
+	revived := !p.usable()
 	p.node = n
 	p.suspected, p.told = false, false
 	m.highest = max(m.highest, n.BundleVersion)
 	m.emit(NodeChanged{p.node})
 	m.spread(p, NodeToProto(p.node), stateRank, push)
+	if revived && m.verifies(p) {
+		// The news may be older than the node's death.
+		m.probe(p, false)
+	}
 }
 
 // restartStep separates a refutation, which raises the incarnation by one, from
