Settle contradictions between data centres in membership

Cause: in relay mode, data centres that disagreed about a node at the same incarnation stayed so, because only news crossed between them. Change: relays exchange the full state with relays of other data centres, a contradicted node is probed, and relays also probe their own data centre at random.

--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -25,6 +25,10 @@
 	earlySyncs        = 2
 	earlySyncInterval = 500 * time.Millisecond
 	earlySyncNodes    = 256
+	// quietAfterStart is how long nodes that a full-state exchange made known
+	// are not passed on. A joining node learns the whole fleet and need not
+	// repeat it.
+	quietAfterStart = 15 * time.Second
 	// refuteInterval bounds how often the own incarnation is raised, so that
 	// two processes with one identifier do not outbid each other without end.
 	refuteInterval = 100 * time.Millisecond
@@ -93,6 +97,7 @@
 	nextReconnect time.Time
 	nextSync      time.Time
 	joined        bool // a full-state exchange took place
+	startedAt     time.Time
 	earlySyncs    int
 	lastOnDemand  time.Time
 	lastRefuted   time.Time
@@ -211,6 +216,7 @@
 	}
 	m.started = true
 	m.seeds = e.Seeds
+	m.startedAt = m.now
 	m.lastTick, m.lastHeard = m.now, m.now
 	// The first probes of nodes that start together are spread over one
 	// interval.
@@ -280,10 +286,17 @@
 	}
 }
 
-// sync asks for a full-state exchange with a random live node.
+// sync asks for a full-state exchange with a random live node and, at a relay,
+// with a random relay of another data centre.
 func (m *Machine) sync() {
-	if p := m.randomPeer(m.reach(), func(p *peer) bool { return p != m.self && p.trusted() }); p != nil {
-		m.emit(SyncWith{p.node.PeerAddr})
+	lists := [][]*peer{m.reach()}
+	if !m.cfg.ProbeAll && m.isRelay(m.self) {
+		lists = append(lists, m.remoteRelays())
+	}
+	for _, list := range lists {
+		if p := m.randomPeer(list, func(p *peer) bool { return p != m.self && p.trusted() }); p != nil {
+			m.emit(SyncWith{p.node.PeerAddr})
+		}
 	}
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -57,18 +57,18 @@
 
 // probeNext probes one peer: in turns the next one on the ring, so that each
 // live node is probed within two intervals at any size of the fleet, and a
-// random one, which covers neighbours that died together. A relay uses the
-// random turns for the relays of other data centres.
+// random one, which covers neighbours that died together. A relay uses three of
+// four random turns for the relays of other data centres.
 func (m *Machine) probeNext() {
 	m.turn++
 	if m.turn%2 == 0 {
 		m.probe(m.successor(m.reach()), false)
 		return
 	}
-	if !m.cfg.ProbeAll && m.isRelay(m.self) {
+	if !m.cfg.ProbeAll && m.turn%8 != 7 && m.isRelay(m.self) {
 		relays := m.remoteRelays()
 		target := m.successor(relays)
-		if m.turn%4 == 1 {
+		if m.turn%8 == 3 {
 			target = m.randomPeer(relays, m.dueAtRandom)
 		}
 		if target != nil {
@@ -127,11 +127,16 @@
 	if !m.ping(p, m.sequence, class) {
 		return false
 	}
+	m.await(p, verify)
+	return true
+}
+
+// await expects the answer to the ping that was sent last.
+func (m *Machine) await(p *peer, verify bool) {
 	m.probes = append(m.probes, &probe{
 		sequence: m.sequence, target: p, verify: verify,
 		next: m.now.Add(m.cfg.RoundTimeout), final: m.now.Add(m.cfg.ProbeTimeout),
 	})
-	return true
 }
 
 func (m *Machine) ping(p *peer, sequence uint64, class sendClass) bool {
@@ -393,5 +398,9 @@
 			return
 		}
 		m.rechecks = m.rechecks[1:]
+		if r.target.usable() {
+			// The rumour may be right.
+			m.await(r.target, false)
+		}
 	}
 }
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -185,8 +185,7 @@
 				continue
 			}
 		}
-		// A joining node learns the whole fleet and need not repeat it.
-		m.apply(n, p == nil)
+		m.apply(n, p == nil && m.now.Sub(m.startedAt) < quietAfterStart)
 	}
 }
 
