Test the rollout machine under random schedules

Cause: no node may go back to an older version, whatever fails. Change: golden session, a virtual cluster with cuts, freezes, restarts, lost answers, stale reads, racing operators and wrong pieces, and BenchmarkRollout beside polling.

--- /dev/null
+++ b/internal/rollout/cluster_test.go
@@ -0,0 +1,386 @@
+package rollout_test
+
+import (
+	"bytes"
+	"container/heap"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/platform"
+	"siskinvale.dev/siskinvale/internal/rollout"
+)
+
+// envelope is the test's bundle format.
+type envelope struct {
+	Version uint64
+	Pieces  []string
+	Author  string // makes envelopes of racing operators differ
+	Forged  bool
+}
+
+func (e envelope) encode() []byte {
+	content, err := json.Marshal(e)
+	if err != nil {
+		panic(err)
+	}
+	return content
+}
+
+func nameOf(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
+
+type verifier struct{}
+
+func (verifier) Verify(content []byte) (uint64, string, []string, error) {
+	var e envelope
+	if err := json.Unmarshal(content, &e); err != nil || e.Forged {
+		return e.Version, "", nil, errors.New("not signed")
+	}
+	return e.Version, nameOf(content), e.Pieces, nil
+}
+
+func (verifier) Assemble(content []byte, pieces map[string][]byte) (any, error) {
+	_, _, names, err := verifier{}.Verify(content)
+	if err != nil {
+		return nil, err
+	}
+	var all bytes.Buffer
+	for _, name := range names {
+		all.Write(pieces[name])
+	}
+	return all.String(), nil
+}
+
+// cluster connects rollout machines, a stand-in for membership's news and the
+// platform in virtual time.
+type cluster struct {
+	now      time.Time
+	random   *rand.Rand
+	store    *platform.Memory
+	nodes    []*node
+	queue    events
+	serial   uint64
+	watchers []watcher
+	cut      map[[2]int]bool // one way
+	outage   bool
+	// received counts the bytes that nodes got from peers and the platform.
+	received int
+	fail     func(format string, args ...any)
+}
+
+type node struct {
+	index   int
+	self    fleet.Node
+	machine *rollout.Machine
+	up      bool
+	frozen  bool
+	corrupt bool // hands out wrong pieces
+	backlog []rollout.Event
+	version uint64 // last activated by this process
+	ready   bool
+	alarms  int
+}
+
+type watcher struct {
+	node    *node
+	process *rollout.Machine
+	since   uint64
+	until   time.Time
+}
+
+type entry struct {
+	at      time.Time
+	serial  uint64
+	to      *node
+	process *rollout.Machine // the process that an answer is for; nil for any
+	event   rollout.Event
+	do      func()
+}
+
+type events []entry
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].serial < q[j].serial
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(entry)) }
+func (q *events) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+func newCluster(seed uint64, size, centres int, fail func(string, ...any)) *cluster {
+	c := &cluster{
+		now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 5)),
+		store: platform.NewMemory(), cut: make(map[[2]int]bool), fail: fail,
+	}
+	for i := range size {
+		c.nodes = append(c.nodes, &node{index: i, self: fleet.Node{
+			ID: fleet.NodeID(fmt.Sprintf("node-%04d", i)), DataCentre: fmt.Sprintf("dc-%d", i%centres)}})
+	}
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	return c
+}
+
+func (c *cluster) push(e entry) {
+	c.serial++
+	e.serial = c.serial
+	heap.Push(&c.queue, e)
+}
+
+func (c *cluster) after(d time.Duration, do func()) { c.push(entry{at: c.now.Add(d), do: do}) }
+
+func (c *cluster) delay() time.Duration {
+	return 500*time.Microsecond + time.Duration(c.random.Int64N(int64(2*time.Millisecond)))
+}
+
+// start runs a new process of the node.
+func (c *cluster) start(n *node) {
+	n.up, n.frozen, n.ready, n.version, n.backlog = true, false, false, 0, nil
+	n.self.Incarnation = uint64(c.now.UnixNano())
+	n.machine = rollout.New(n.self.ID, verifier{}, rollout.Config{DataCentre: n.self.DataCentre, Seed: c.random.Uint64()})
+	for _, other := range c.nodes {
+		if other != n && other.up && other.machine != nil {
+			c.tell(other, n)
+			c.tell(n, other)
+		}
+	}
+	c.tick(n, n.machine)
+}
+
+func (c *cluster) stop(n *node) {
+	n.up = false
+	gone := n.self
+	gone.State = fleet.NodeDead
+	for _, other := range c.nodes {
+		if other != n {
+			c.push(entry{at: c.now.Add(2 * time.Second), do: func() {
+				if !n.up {
+					c.step(other, rollout.NodeChanged{Node: gone})
+				}
+			}})
+		}
+	}
+}
+
+// tell passes the state of a node on to another one, as membership does.
+func (c *cluster) tell(about, to *node) {
+	if c.cut[[2]int{about.index, to.index}] || !about.up {
+		return
+	}
+	n := about.self
+	n.BundleVersion, _ = about.machine.InForce()
+	c.push(entry{at: c.now.Add(c.delay()), to: to, event: rollout.NodeChanged{Node: n}})
+}
+
+func (c *cluster) tick(n *node, process *rollout.Machine) {
+	c.after(100*time.Millisecond, func() {
+		if n.machine != process || !n.up {
+			return
+		}
+		if !n.frozen {
+			c.step(n, rollout.Tick{})
+		}
+		c.tick(n, process)
+	})
+}
+
+func (c *cluster) step(n *node, ev rollout.Event) {
+	if !n.up {
+		return
+	}
+	if n.frozen {
+		n.backlog = append(n.backlog, ev)
+		return
+	}
+	actions := append([]rollout.Action{}, n.machine.Step(c.now, ev)...)
+	for _, a := range actions {
+		c.act(n, a)
+	}
+}
+
+func (c *cluster) act(n *node, a rollout.Action) {
+	process := n.machine
+	answer := func(d time.Duration, ev rollout.Event) {
+		c.push(entry{at: c.now.Add(d), to: n, process: process, event: ev})
+	}
+	switch a := a.(type) {
+	case rollout.Activate:
+		if a.Version < n.version {
+			c.fail("%s activated %d after %d", n.self.ID, a.Version, n.version)
+		}
+		n.version = a.Version
+		for _, other := range c.nodes {
+			if other != n {
+				c.tell(n, other)
+			}
+		}
+	case rollout.Ready:
+		n.ready = true
+	case rollout.Conflict:
+		n.alarms++
+	case rollout.ReadPlatform:
+		answer(2*c.delay(), rollout.Read(context.Background(), c.store))
+	case rollout.WatchPlatform:
+		c.watchers = append(c.watchers, watcher{n, process, a.Since, c.now.Add(platform.WatchWait)})
+		c.wake()
+	case rollout.FetchEnvelope:
+		c.ask(n, a.From, func(peer *node) rollout.Event {
+			content := peer.machine.Content()
+			c.received += len(content.Envelope)
+			return rollout.EnvelopeReceived{From: a.From, Envelope: content.Envelope}
+		})
+	case rollout.FetchPieces:
+		if a.From == rollout.Platform {
+			ev := rollout.ReadPieces(context.Background(), c.store, a)
+			if got, ok := ev.(rollout.PiecesReceived); ok {
+				for _, p := range got.Pieces {
+					c.received += len(p)
+				}
+			}
+			answer(2*c.delay(), ev)
+			return
+		}
+		c.ask(n, a.From, func(peer *node) rollout.Event {
+			pieces := make(map[string][]byte)
+			for _, name := range a.Names {
+				if piece, ok := peer.machine.Content().Pieces[name]; ok {
+					c.received += len(piece)
+					pieces[name] = piece
+					if peer.corrupt {
+						pieces[name] = []byte("wrong")
+					}
+				}
+			}
+			return rollout.PiecesReceived{From: a.From, Pieces: pieces}
+		})
+	}
+}
+
+// ask does a call from n to a peer; with a cut or a stopped peer there is no
+// answer.
+func (c *cluster) ask(n *node, id fleet.NodeID, reply func(*node) rollout.Event) {
+	process := n.machine
+	for _, peer := range c.nodes {
+		if peer.self.ID == id && !c.cut[[2]int{n.index, peer.index}] {
+			c.after(c.delay(), func() {
+				if peer.up && !peer.frozen && !c.cut[[2]int{peer.index, n.index}] {
+					c.push(entry{at: c.now.Add(c.delay()), to: n, process: process, event: reply(peer)})
+				}
+			})
+		}
+	}
+}
+
+// wake answers the watches whose objects changed or whose wait is over.
+func (c *cluster) wake() {
+	var kept []watcher
+	for _, w := range c.watchers {
+		read := rollout.Read(context.Background(), c.store)
+		read.Watch = true
+		if read.Err == nil && read.Revision <= w.since {
+			read.Envelope = nil
+			if c.now.Before(w.until) {
+				kept = append(kept, w)
+				continue
+			}
+		}
+		c.push(entry{at: c.now.Add(c.delay()), to: w.node, process: w.process, event: read})
+	}
+	c.watchers = kept
+}
+
+func (c *cluster) run(d time.Duration) { c.runUntil(d, func() bool { return false }) }
+
+func (c *cluster) runUntil(d time.Duration, done func() bool) bool {
+	end := c.now.Add(d)
+	for len(c.queue) > 0 && !c.queue[0].at.After(end) {
+		e := heap.Pop(&c.queue).(entry)
+		c.now = e.at
+		switch {
+		case e.do != nil:
+			e.do()
+		case e.process == nil || e.process == e.to.machine:
+			c.step(e.to, e.event)
+		}
+		if done() {
+			return true
+		}
+	}
+	c.now = end
+	return done()
+}
+
+// gossip repeats all news, as the periodic exchange of membership does.
+func (c *cluster) gossip() {
+	for _, a := range c.nodes {
+		for _, b := range c.nodes {
+			if a != b {
+				c.tell(a, b)
+			}
+		}
+	}
+}
+
+func (c *cluster) resume(n *node) {
+	n.frozen = false
+	backlog := n.backlog
+	n.backlog = nil
+	for _, ev := range backlog {
+		c.step(n, ev)
+	}
+}
+
+// roll is an operator: it stores the pieces and updates the active envelope if
+// its version is the next one. It returns whether it won.
+func (c *cluster) roll(author string, version uint64, contents ...string) (bool, error) {
+	ctx := context.Background()
+	e := envelope{Version: version, Author: author}
+	for _, content := range contents {
+		name := nameOf([]byte(content))
+		e.Pieces = append(e.Pieces, name)
+		if _, err := c.store.Put(ctx, rollout.PieceKey(name), []byte(content), 0); err != nil && !errors.Is(err, platform.ErrConflict) {
+			return false, err
+		}
+	}
+	_, err := platform.Update(ctx, c.store, rollout.ActiveKey, func(old platform.Object) ([]byte, error) {
+		var active envelope
+		if old.Version != 0 {
+			if err := json.Unmarshal(old.Value, &active); err != nil {
+				return nil, err
+			}
+		}
+		if active.Version >= version {
+			return nil, errors.New("another rollout won")
+		}
+		return e.encode(), nil
+	})
+	c.wake()
+	return err == nil, err
+}
+
+// inForce reports whether all running nodes have the version in force.
+func (c *cluster) inForce(version uint64) func() bool {
+	return func() bool {
+		for _, n := range c.nodes {
+			if got, _ := n.machine.InForce(); n.up && got != version {
+				return false
+			}
+		}
+		return true
+	}
+}
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,435 @@
+package rollout_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/naive"
+	"siskinvale.dev/siskinvale/internal/platform"
+	"siskinvale.dev/siskinvale/internal/rollout"
+)
+
+func TestRollout(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "rollout")
+}
+
+func failSpec(format string, args ...any) {
+	GinkgoHelper()
+	Fail(fmt.Sprintf(format, args...))
+}
+
+func roll(c *cluster, version uint64, contents ...string) {
+	GinkgoHelper()
+	won, err := c.roll("operator", version, contents...)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(won).To(BeTrue())
+}
+
+var _ = Describe("Machine", func() {
+	It("is in force on all nodes within 2 s, read by two nodes per data centre", func() {
+		c := newCluster(1, 40, 4, failSpec)
+		c.run(5 * time.Second)
+		roll(c, 1, "a", "b", "c")
+		Expect(c.runUntil(2*time.Second, c.inForce(1))).To(BeTrue())
+		readers := 0
+		for _, n := range c.nodes {
+			if n.machine.IsReader() {
+				readers++
+			}
+			Expect(n.machine.Stats().PlatformPieceReads == 0 || n.machine.IsReader()).To(BeTrue(), "only readers read pieces")
+		}
+		Expect(readers).To(Equal(8))
+	})
+
+	It("transfers only the pieces that changed", func() {
+		c := newCluster(2, 10, 2, failSpec)
+		big := func(s string) string { return strings.Repeat(s, 10_000) }
+		roll(c, 1, big("a"), big("b"), big("c"))
+		Expect(c.runUntil(5*time.Second, c.inForce(1))).To(BeTrue())
+		c.received = 0
+		roll(c, 2, big("a"), big("x"), big("c"))
+		Expect(c.runUntil(2*time.Second, c.inForce(2))).To(BeTrue())
+		Expect(c.received).To(BeNumerically("<", 10*12_000))
+	})
+
+	It("starts from peers while the platform is unavailable", func() {
+		c := newCluster(3, 10, 2, failSpec)
+		roll(c, 4, "a")
+		Expect(c.runUntil(5*time.Second, c.inForce(4))).To(BeTrue())
+		c.store.SetOutage(true)
+		c.stop(c.nodes[3])
+		c.run(3 * time.Second)
+		c.start(c.nodes[3])
+		Expect(c.runUntil(3*time.Second, func() bool { return c.nodes[3].ready })).To(BeTrue())
+		version, _ := c.nodes[3].machine.InForce()
+		Expect(version).To(Equal(uint64(4)))
+	})
+
+	It("does not become ready with the version of a stale platform", func() {
+		c := newCluster(4, 6, 1, failSpec)
+		roll(c, 1, "a")
+		c.run(5 * time.Second)
+		c.store.SetStale(true)
+		roll(c, 2, "b")
+		c.store.SetStale(false)
+		c.wake()
+		Expect(c.runUntil(5*time.Second, c.inForce(2))).To(BeTrue())
+		// The platform now shows version 1 to the restarted node.
+		old := platform.NewMemory()
+		current := c.store
+		c.store = old
+		roll(c, 1, "a")
+		c.store.SetStale(true)
+		c.start(c.nodes[2])
+		Expect(c.runUntil(10*time.Second, func() bool { return c.nodes[2].ready })).To(BeTrue())
+		version, _ := c.nodes[2].machine.InForce()
+		Expect(version).To(Equal(uint64(2)))
+		c.store = current
+	})
+
+	It("becomes ready alone after a bounded wait", func() {
+		c := newCluster(5, 1, 1, failSpec)
+		c.store.SetOutage(true)
+		Expect(c.runUntil(9*time.Second, func() bool { return c.nodes[0].ready })).To(BeFalse())
+		Expect(c.runUntil(2*time.Second, func() bool { return c.nodes[0].ready })).To(BeTrue())
+	})
+
+	It("avoids a peer with wrong pieces and a peer that claims what it does not have", func() {
+		c := newCluster(6, 6, 1, failSpec)
+		c.run(5 * time.Second)
+		c.nodes[0].corrupt, c.nodes[1].corrupt, c.nodes[2].corrupt = true, true, true
+		liar := c.nodes[5].self
+		liar.BundleVersion = 99
+		for _, n := range c.nodes[:5] {
+			c.step(n, rollout.NodeChanged{Node: liar})
+		}
+		before := c.nodes[4].machine.Stats().EnvelopeFetches
+		roll(c, 1, "a", "b")
+		Expect(c.runUntil(10*time.Second, c.inForce(1))).To(BeTrue())
+		c.run(20 * time.Second)
+		Expect(c.nodes[4].machine.Stats().EnvelopeFetches-before).To(BeNumerically("<", 60), "back-off")
+	})
+
+	It("lets the platform decide between two bundles of one version", func() {
+		c := newCluster(7, 6, 1, failSpec)
+		c.run(5 * time.Second)
+		c.store.SetOutage(true)
+		c.run(time.Second)
+		// Node 0 got another valid envelope of version 1 from elsewhere.
+		name := nameOf([]byte("z"))
+		other := envelope{Version: 1, Author: "other", Pieces: []string{name}}
+		c.nodes[1].self.BundleVersion = 0
+		c.step(c.nodes[0], rollout.EnvelopeReceived{From: c.nodes[1].self.ID, Envelope: other.encode()})
+		c.store.SetOutage(false)
+		_, err := c.store.Put(context.Background(), rollout.PieceKey(name), []byte("z"), 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.runUntil(20*time.Second, func() bool { v, _ := c.nodes[0].machine.InForce(); return v == 1 })).To(BeTrue())
+		roll(c, 1, "a")
+		c.run(3 * time.Minute)
+		_, want := c.nodes[5].machine.InForce()
+		alarms := 0
+		for _, n := range c.nodes {
+			version, digest := n.machine.InForce()
+			Expect(version).To(Equal(uint64(1)))
+			Expect(digest).To(Equal(want))
+			alarms += n.alarms
+		}
+		Expect(alarms).To(BeNumerically(">", 0))
+		read, err := c.store.Get(context.Background(), rollout.ActiveKey)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(nameOf(read.Value)).To(Equal(want))
+	})
+
+	It("rejects an envelope without valid signatures and keeps what is in force", func() {
+		c := newCluster(8, 4, 1, failSpec)
+		roll(c, 3, "a")
+		Expect(c.runUntil(5*time.Second, c.inForce(3))).To(BeTrue())
+		forged := envelope{Version: 9, Forged: true}.encode()
+		actions := c.nodes[0].machine.Step(c.now, rollout.EnvelopeReceived{From: "node-0001", Envelope: forged})
+		Expect(actions).To(ContainElement(BeAssignableToTypeOf(rollout.Reject{})))
+		version, _ := c.nodes[0].machine.InForce()
+		Expect(version).To(Equal(uint64(3)))
+	})
+})
+
+// The session guards the actions of one reader that starts, follows a rollout
+// and meets wrong content.
+func TestGoldenSession(t *testing.T) {
+	var b strings.Builder
+	m := rollout.New("node-0000", verifier{}, rollout.Config{DataCentre: "dc-0", Seed: 1})
+	began := time.Unix(1_700_000_000, 0)
+	step := func(after time.Duration, ev rollout.Event) {
+		fmt.Fprintf(&b, "%v %s\n", after, strings.TrimPrefix(fmt.Sprintf("%T", ev), "rollout."))
+		for _, a := range m.Step(began.Add(after), ev) {
+			fmt.Fprintf(&b, "  %s %v\n", strings.TrimPrefix(fmt.Sprintf("%T", a), "rollout."), a)
+		}
+	}
+	peer := fleet.Node{ID: "node-0001", DataCentre: "dc-0"}
+	newer := peer
+	newer.BundleVersion = 2
+	first := envelope{Version: 1, Pieces: []string{nameOf([]byte("a")), nameOf([]byte("b"))}}
+	second := envelope{Version: 2, Pieces: []string{nameOf([]byte("a")), nameOf([]byte("c"))}}
+	conflicting := envelope{Version: 2, Author: "other"}
+	step(0, rollout.NodeChanged{Node: fleet.Node{ID: "node-0000", DataCentre: "dc-0"}})
+	step(0, rollout.NodeChanged{Node: peer})
+	step(time.Second, rollout.EnvelopeReceived{From: peer.ID})
+	step(time.Second, rollout.PlatformRead{Envelope: first.encode(), Revision: 7})
+	step(time.Second, rollout.PiecesReceived{Pieces: map[string][]byte{first.Pieces[0]: []byte("a"), first.Pieces[1]: []byte("b")}})
+	step(2*time.Second, rollout.PlatformRead{Watch: true, Err: platform.ErrUnavailable})
+	step(2*time.Second, rollout.NodeChanged{Node: newer})
+	step(2*time.Second, rollout.EnvelopeReceived{From: peer.ID, Envelope: second.encode()})
+	step(2*time.Second, rollout.PiecesReceived{From: peer.ID, Pieces: map[string][]byte{second.Pieces[1]: []byte("wrong")}})
+	step(2500*time.Millisecond, rollout.Tick{})
+	step(3*time.Second, rollout.PiecesReceived{Pieces: map[string][]byte{second.Pieces[1]: []byte("c")}})
+	step(3*time.Second, rollout.PlatformRead{Envelope: first.encode(), Revision: 6})
+	step(3*time.Second, rollout.EnvelopeReceived{From: peer.ID, Envelope: conflicting.encode()})
+	step(4*time.Second, rollout.PlatformRead{Watch: true, Revision: 9})
+	step(5*time.Second, rollout.Tick{})
+	goldie.New(t).Assert(t, "session", []byte(b.String()))
+}
+
+// Rollouts under cuts, freezes, lost answers, racing operators, stale reads,
+// wrong pieces and restarts. No process ever activates a lower version; of the
+// operators that race for one version at most one wins; after the faults all
+// nodes reach the newest accepted version.
+func TestRandomSchedules(t *testing.T) {
+	runs := uint64(40)
+	if os.Getenv("SISKINVALE_SOAK") != "" {
+		runs = 2000
+	}
+	for seed := range runs {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			// The back-off of the operators' updates sleeps in virtual time.
+			synctest.Test(t, func(t *testing.T) { randomSchedule(t, seed) })
+		})
+	}
+}
+
+func randomSchedule(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 11))
+	c := newCluster(seed, 3+random.IntN(15), 1+random.IntN(4), t.Errorf)
+	any := func() *node { return c.nodes[random.IntN(len(c.nodes))] }
+	newest, stale := uint64(0), false
+	// active reads the store past its faults.
+	active := func() (e envelope) {
+		c.store.SetOutage(false)
+		c.store.SetStale(false)
+		o, err := c.store.Get(context.Background(), rollout.ActiveKey)
+		if err == nil {
+			if err := json.Unmarshal(o.Value, &e); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return e
+	}
+	operators := func() {
+		winner := ""
+		told := make(map[string]error)
+		for i := range 1 + random.IntN(3) {
+			author := fmt.Sprintf("operator-%d-%d", newest+1, i)
+			won, err := c.roll(author, newest+1, "same", author)
+			if told[author] = err; won && winner != "" {
+				t.Errorf("%s and %s both won version %d", winner, author, newest+1)
+			} else if won {
+				winner = author
+			}
+		}
+		e := active()
+		newest = e.Version
+		if winner != "" && e.Author != winner {
+			t.Errorf("%s was told that it won, the active bundle is from %s", winner, e.Author)
+		}
+		if err := told[e.Author]; err != nil && !errors.Is(err, platform.ErrUncertain) {
+			t.Errorf("%s won but was told: %v", e.Author, err)
+		}
+		// A stale view begins anew from here.
+		c.store.SetStale(stale)
+	}
+	for range 25 {
+		switch random.IntN(11) {
+		case 0, 1, 2:
+			if !c.outage {
+				operators()
+			}
+		case 3:
+			c.store.LoseAnswers(1 + random.IntN(2))
+		case 4:
+			for range 1 + random.IntN(2*len(c.nodes)) {
+				c.cut[[2]int{any().index, any().index}] = true
+			}
+		case 5:
+			clear(c.cut)
+		case 6:
+			if n := any(); n.up {
+				n.frozen = true
+			}
+		case 7:
+			c.resume(any())
+		case 8:
+			n := any()
+			if n.up {
+				c.stop(n)
+			}
+			c.run(time.Duration(random.IntN(3000)) * time.Millisecond)
+			c.start(n)
+		case 9:
+			c.outage = !c.outage
+			c.store.SetOutage(c.outage)
+		case 10:
+			stale = random.IntN(2) == 0
+			c.store.SetStale(stale)
+			n := any()
+			n.corrupt = !n.corrupt
+		}
+		c.run(time.Duration(random.IntN(4000)) * time.Millisecond)
+		if random.IntN(3) == 0 {
+			c.gossip()
+		}
+	}
+	clear(c.cut)
+	c.outage = false
+	c.store.SetOutage(false)
+	c.store.SetStale(false)
+	c.store.LoseAnswers(0)
+	c.wake()
+	for _, n := range c.nodes {
+		n.corrupt = false
+		c.resume(n)
+	}
+	for range 30 {
+		c.gossip()
+		if c.runUntil(5*time.Second, c.inForce(newest)) {
+			break
+		}
+	}
+	c.run(25 * time.Second) // the longest wait of a node that has just started
+	for _, n := range c.nodes {
+		if version, _ := n.machine.InForce(); n.up && version != newest {
+			t.Errorf("%s has version %d in force, the newest is %d", n.self.ID, version, newest)
+		}
+		if n.up && !n.ready {
+			t.Errorf("%s is not ready", n.self.ID)
+		}
+	}
+}
+
+// BenchmarkRollout measures one rollout that changes one of eight pieces of
+// 32 KiB. reads-per-minute are those of a quiet minute, watches included.
+func BenchmarkRollout(b *testing.B) {
+	contents := func(version int) []string {
+		var all []string
+		for i := range 8 {
+			all = append(all, strings.Repeat(fmt.Sprintf("%d-%d ", i, version*(i/7)), 32<<10/4)[:32<<10])
+		}
+		return all
+	}
+	for _, size := range []int{10, 40, 160, 640} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				c := newCluster(1, size, 4, func(f string, a ...any) { b.Errorf(f, a...) })
+				if _, err := c.roll("operator", 1, contents(1)...); err != nil {
+					b.Fatal(err)
+				}
+				if !c.runUntil(time.Minute, c.inForce(1)) {
+					b.Fatal("version 1 did not come into force")
+				}
+				c.run(time.Minute)
+				watches := func() (sum uint64) {
+					for _, n := range c.nodes {
+						s := n.machine.Stats()
+						sum += s.PlatformWatches + s.PlatformReads
+					}
+					return sum
+				}
+				before := watches()
+				c.run(time.Minute)
+				quiet := watches() - before
+
+				c.received, before = 0, watches()
+				pieces := func() (sum uint64) {
+					for _, n := range c.nodes {
+						sum += n.machine.Stats().PlatformPieceReads
+					}
+					return sum
+				}
+				piecesBefore, writes, began := pieces(), c.store.Counts().Writes, c.now
+				if _, err := c.roll("operator", 2, contents(2)...); err != nil {
+					b.Fatal(err)
+				}
+				if !c.runUntil(time.Minute, c.inForce(2)) {
+					b.Fatal("version 2 did not come into force")
+				}
+				b.ReportMetric(float64(c.now.Sub(began).Milliseconds()), "in-force-ms")
+				b.ReportMetric(float64(c.received)/float64(size), "bytes-per-node")
+				b.ReportMetric(float64(c.store.Counts().Writes-writes), "writes")
+				b.ReportMetric(float64(pieces()-piecesBefore+watches()-before), "reads")
+				b.ReportMetric(float64(quiet), "reads-per-minute")
+			}
+		})
+		b.Run(fmt.Sprintf("naive/nodes=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				store := platform.NewMemory()
+				c := &cluster{store: store}
+				list := func(value []byte) (keys []string) {
+					_, _, names, _ := verifier{}.Verify(value)
+					for _, name := range names {
+						keys = append(keys, rollout.PieceKey(name))
+					}
+					return keys
+				}
+				pollers := make([]*naive.Poller, size)
+				for i := range pollers {
+					pollers[i] = naive.NewPoller(store, rollout.ActiveKey)
+				}
+				// round polls once with all nodes, evenly over one interval, and
+				// returns the bytes read and when the last node had a new version.
+				round := func() (size int, last time.Duration) {
+					for i, p := range pollers {
+						version, n, err := p.Poll(context.Background(), list)
+						if err != nil {
+							b.Fatal(err)
+						}
+						if size += n; version != 0 {
+							last = naive.PollInterval * time.Duration(i+1) / time.Duration(len(pollers))
+						}
+					}
+					return size, last
+				}
+				if _, err := c.roll("operator", 1, contents(1)...); err != nil {
+					b.Fatal(err)
+				}
+				round()
+				before := store.Counts()
+				round()
+				quiet := store.Counts().Reads - before.Reads
+				before = store.Counts()
+				if _, err := c.roll("operator", 2, contents(2)...); err != nil {
+					b.Fatal(err)
+				}
+				writes := store.Counts().Writes - before.Writes
+				before = store.Counts()
+				received, last := round()
+				b.ReportMetric(float64(last.Milliseconds()), "in-force-ms")
+				b.ReportMetric(float64(received)/float64(size), "bytes-per-node")
+				b.ReportMetric(float64(writes), "writes")
+				b.ReportMetric(float64(store.Counts().Reads-before.Reads), "reads")
+				b.ReportMetric(float64(60*quiet), "reads-per-minute")
+			}
+		})
+	}
+}
