--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -25,6 +25,10 @@
 	earlySyncs        = 2
 	earlySyncInterval = 500 * time.Millisecond
 	earlySyncNodes    = 256
+	// quietAfterStart is how long nodes that a full-state exchange made known
+	// are not passed on. A joining node learns the whole fleet and need not
+	// repeat it.
+	quietAfterStart = 15 * time.Second
 	// refuteInterval bounds how often the own incarnation is raised, so that
 	// two processes with one identifier do not outbid each other without end.
 	refuteInterval = 100 * time.Millisecond
@@ -79,7 +83,7 @@
 	lastTick  time.Time
 	nextProbe time.Time
 	turn      int
-	impaired  int // rises when own probes need helpers, up to maxImpaired
+	impaired  int // rises when helpers reach what this node does not, up to maxImpaired
 	sequence  uint64
 	probes    []*probe
 	forwards  []forward
@@ -87,11 +91,13 @@
 	rechecks  []recheck
 	recent    []*peer // last senders, latest first
 	answered  *peer   // the last node that answered a probe
+	helper    *peer   // the last node that reached any target for this one
 	lastHeard time.Time
 
 	nextReconnect time.Time
 	nextSync      time.Time
 	joined        bool // a full-state exchange took place
+	startedAt     time.Time
 	earlySyncs    int
 	lastOnDemand  time.Time
 	lastRefuted   time.Time
@@ -210,6 +216,7 @@
 	}
 	m.started = true
 	m.seeds = e.Seeds
+	m.startedAt = m.now
 	m.lastTick, m.lastHeard = m.now, m.now
 	// The first probes of nodes that start together are spread over one
 	// interval.
@@ -279,10 +286,17 @@
 	}
 }
 
-// sync asks for a full-state exchange with a random live node.
+// sync asks for a full-state exchange with a random live node and, at a relay,
+// with a random relay of another data centre.
 func (m *Machine) sync() {
-	if p := m.randomPeer(m.reach(), func(p *peer) bool { return p != m.self && p.trusted() }); p != nil {
-		m.emit(SyncWith{p.node.PeerAddr})
+	lists := [][]*peer{m.reach()}
+	if !m.cfg.ProbeAll && m.isRelay(m.self) {
+		lists = append(lists, m.remoteRelays())
+	}
+	for _, list := range lists {
+		if p := m.randomPeer(list, func(p *peer) bool { return p != m.self && p.trusted() }); p != nil {
+			m.emit(SyncWith{p.node.PeerAddr})
+		}
 	}
 }
 
@@ -439,6 +453,9 @@
 	if m.answered == p {
 		m.answered = nil
 	}
+	if m.helper == p {
+		m.helper = nil
+	}
 	for _, q := range m.ring {
 		if q.helper == p {
 			q.helper = nil
@@ -546,5 +563,6 @@
 			live++
 		}
 	}
-	return fmt.Sprintf("%s: %d nodes, %d live, %d suspected", m.self.node.ID, len(m.ring), live, len(m.suspects))
+	return fmt.Sprintf("%s: %d nodes, %d live, %d suspected, %d%% of a second's budget left", m.self.node.ID, len(m.ring), live,
+		len(m.suspects), int(100*m.tokens)/m.cfg.BytesPerSecond)
 }
