Count link traffic before it is sent and name packages of failed benchmarks

A link counted bytes after it had written them, so a reader that had received an answer could still see the old counter. One run of the link's test failed with that. A benchmark that fails before its package's first result had no package in docs/MEASUREMENTS.md. Duplicates were listed in the order of targets.

The link counts first, the parser takes the package from the final line, and operations are ordered by their start.

--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/fleet"
@@ -38,6 +39,7 @@
 	var f Findings
 	for key, ops := range runs {
 		if len(ops) > 1 {
+			sort.Slice(ops, func(i, j int) bool { return ops[i].StartedAt.Before(ops[j].StartedAt) })
 			f.Duplicates = append(f.Duplicates, fmt.Sprintf("%s: run %d times, %s and %s after the first", key, len(ops),
 				ops[0].StartedAt.Format(time.StampMilli), ops[1].StartedAt.Sub(ops[0].StartedAt)))
 		}
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -19,9 +19,12 @@
 BenchmarkPathOverhead/forwarded-10         	       1	10000000000 ns/op	         0.350 added-p50-ms	         2.5 added-p99-ms
 BenchmarkPathOverhead/local-10             	       1	10000000000 ns/op	         0.200 added-p50-ms
 PASS
-pkg: siskinvale.dev/siskinvale/internal/health
+ok  	siskinvale.dev/siskinvale/internal/pathbench	12.1s
 --- FAIL: BenchmarkDetection/flapping-10
+pkg: siskinvale.dev/siskinvale/internal/health
 FAIL
+exit status 1
+FAIL	siskinvale.dev/siskinvale/internal/health	1.2s
 pkg: siskinvale.dev/siskinvale/internal/routing
 BenchmarkPick-10          	  200000	       123 ns/op	       0 B/op	       1 allocs/op
 `
--- a/internal/measure/parse.go
+++ b/internal/measure/parse.go
@@ -36,6 +36,14 @@
 		switch {
 		case len(fields) == 2 && fields[0] == "pkg:":
 			pkg = fields[1]
+		case len(fields) >= 3 && (fields[0] == "ok" || fields[0] == "FAIL"):
+			// A failure can come before the line that names the package.
+			for i := range results {
+				if results[i].pkg == "" {
+					results[i].pkg = fields[1]
+				}
+			}
+			pkg = ""
 		case len(fields) >= 3 && fields[0] == "---" && fields[1] == "FAIL:":
 			name, sub, _ := strings.Cut(strings.TrimSuffix(fields[2], suffix), "/")
 			results = append(results, result{pkg: pkg, benchmark: name, name: sub, failed: true})
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -243,11 +243,12 @@
 			continue
 		}
 		if len(c.data) > 0 {
+			// Counted first, so that a counter never lags behind an answer.
+			bytes.Add(int64(len(c.data)))
 			if _, err := to.Write(c.data); err != nil {
 				from.Close()
 				return
 			}
-			bytes.Add(int64(len(c.data)))
 		}
 		if c.err != nil {
 			closeWrite(to)
