Let stand-ins start with fault switches

A target that is cold from its start, or a platform that is down before the fleet starts, could not be set up: switches were accepted only while running.

--faults takes the JSON form of PUT /control/faults at start.

--- a/cmd/siskinvale-standin/main.go
+++ b/cmd/siskinvale-standin/main.go
@@ -32,6 +32,8 @@
 	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least severe log lines to write"`
 	Seed     uint64 `long:"seed" default:"1" description:"seed that decides which calls a fault with a fraction hits"`
 
+	Faults string `long:"faults" value-name:"JSON" default:"{}" description:"fault switches to start with, as PUT /control/faults takes them"`
+
 	Platform platformCommand `command:"platform" description:"run the platform's object API"`
 	Target   targetCommand   `command:"target" description:"run a target"`
 	Link     linkCommand     `command:"link" description:"forward TCP and UDP to another address"`
@@ -120,11 +122,11 @@
 	defer cancel()
 	switch parser.Active.Name {
 	case "platform":
-		err = opts.Platform.run(ctx, opts.Seed, log)
+		err = opts.Platform.run(ctx, opts, log)
 	case "target":
-		err = opts.Target.run(ctx, opts.Seed, log)
+		err = opts.Target.run(ctx, opts, log)
 	case "link":
-		err = opts.Link.run(ctx, opts.Seed, log)
+		err = opts.Link.run(ctx, opts, log)
 	}
 	if err != nil {
 		log.WithError(err).Error("stand-in failed")
@@ -134,18 +136,22 @@
 	return 0
 }
 
-func (c *platformCommand) run(ctx context.Context, seed uint64, log *logrus.Logger) error {
+func (c *platformCommand) run(ctx context.Context, opts options, log *logrus.Logger) error {
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
+	platform := standin.NewPlatform(standin.PlatformConfig{
+		Token: c.Token, ReadsPerSecond: c.Reads, WritesPerSecond: c.Writes, Seed: opts.Seed, Log: log,
+	})
+	if err := platform.SetFaultsJSON(opts.Faults); err != nil {
+		return err
+	}
 	log.WithField("address", listener.Addr()).Info("platform stand-in listens")
-	return standin.Serve(ctx, listener, standin.NewPlatform(standin.PlatformConfig{
-		Token: c.Token, ReadsPerSecond: c.Reads, WritesPerSecond: c.Writes, Seed: seed, Log: log,
-	}))
+	return standin.Serve(ctx, listener, platform)
 }
 
-func (c *targetCommand) run(ctx context.Context, seed uint64, log *logrus.Logger) error {
+func (c *targetCommand) run(ctx context.Context, opts options, log *logrus.Logger) error {
 	if c.TTL < time.Second/10 {
 		return fmt.Errorf("ttl %v is too short; want at least 100ms", c.TTL)
 	}
@@ -156,7 +162,7 @@
 	entry := log.WithField("target", c.ID)
 	entry.WithField("address", listener.Addr()).Info("target stand-in listens")
 	cfg := standin.TargetConfig{
-		ID: c.ID, Service: c.Service, Slots: c.Slots, Work: c.Work, Body: c.Body, Seed: seed, Log: entry,
+		ID: c.ID, Service: c.Service, Slots: c.Slots, Work: c.Work, Body: c.Body, Seed: opts.Seed, Log: entry,
 	}
 	for _, f := range c.WorkPaths {
 		work, _ := time.ParseDuration(f.raw) // checked by UnmarshalFlag
@@ -179,10 +185,14 @@
 			},
 		}
 	}
-	return standin.NewTarget(cfg).Serve(ctx, listener, announcer, c.LongestDrain)
+	target := standin.NewTarget(cfg)
+	if err := target.SetFaultsJSON(opts.Faults); err != nil {
+		return err
+	}
+	return target.Serve(ctx, listener, announcer, c.LongestDrain)
 }
 
-func (c *linkCommand) run(ctx context.Context, seed uint64, log *logrus.Logger) error {
+func (c *linkCommand) run(ctx context.Context, opts options, log *logrus.Logger) error {
 	tcp, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
@@ -196,7 +206,10 @@
 		return err
 	}
 	log.WithFields(logrus.Fields{"address": tcp.Addr(), "to": c.To, "control": control.Addr()}).Info("link stand-in listens")
-	link := standin.NewLink(c.To, seed, log)
+	link := standin.NewLink(c.To, opts.Seed, log)
+	if err := link.SetFaultsJSON(opts.Faults); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	failed := make(chan error, 2)
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -79,6 +79,15 @@
 	return value, nil
 }
 
+// setJSON sets the switches from the form that PUT /control/faults takes.
+func (s *switches[T]) setJSON(c echo.Context, raw []byte) error {
+	value, err := s.decode(raw)
+	if err != nil {
+		return err
+	}
+	return s.set(c, value)
+}
+
 // register adds the control calls: the switches and the counters.
 func (s *switches[T]) register(e *echo.Echo, counters func() any) {
 	e.GET("/control/faults", func(c echo.Context) error { return c.JSON(http.StatusOK, s.get()) })
@@ -88,11 +97,7 @@
 		if err != nil {
 			return err
 		}
-		value, err := s.decode(raw)
-		if err == nil {
-			err = s.set(c, value)
-		}
-		if err != nil {
+		if err := s.setJSON(c, raw); err != nil {
 			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 		}
 		return c.JSON(http.StatusOK, s.get())
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -102,6 +102,9 @@
 // SetFaults replaces the fault switches.
 func (l *Link) SetFaults(f LinkFaults) error { return l.faults.set(nil, f) }
 
+// SetFaultsJSON replaces the fault switches from their JSON form.
+func (l *Link) SetFaultsJSON(raw string) error { return l.faults.setJSON(nil, []byte(raw)) }
+
 // Calls returns the counters.
 func (l *Link) Calls() LinkCalls {
 	l.mu.Lock()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -135,6 +135,9 @@
 // SetFaults replaces the fault switches.
 func (p *Platform) SetFaults(f PlatformFaults) error { return p.faults.set(nil, f) }
 
+// SetFaultsJSON replaces the fault switches from their JSON form.
+func (p *Platform) SetFaultsJSON(raw string) error { return p.faults.setJSON(nil, []byte(raw)) }
+
 // Calls returns the counters.
 func (p *Platform) Calls() PlatformCalls {
 	p.mu.Lock()
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -122,6 +122,9 @@
 // SetFaults replaces the fault switches.
 func (t *Target) SetFaults(f TargetFaults) error { return t.faults.set(nil, f) }
 
+// SetFaultsJSON replaces the fault switches from their JSON form.
+func (t *Target) SetFaultsJSON(raw string) error { return t.faults.setJSON(nil, []byte(raw)) }
+
 // Operations returns the log of the work that was started.
 func (t *Target) Operations() []Operation { return t.operations.list() }
 
