Weigh missing answers and age together in the stall detector

Cause: a single long outlier beside other work looked like a stall. Change: the age of the oldest work counts only together with answers that are missing at the target's own and its peers' rate; Weigh returns the new value of its test. Thresholds are still read from the environment while they are chosen.

--- a/internal/health/detector.go
+++ b/internal/health/detector.go
@@ -3,87 +3,101 @@
 import (
 	"fmt"
 	"math"
+	"os"
+	"strconv"
 	"time"
 )
 
-// Detector turns the evidence of one Tick about one class at one target into a
-// step of a sequential test. The Monitor adds the steps up, never below 0, and
-// condemns the target when the sum reaches 1. A negative step is evidence for
-// health; 0 is no evidence.
+// Detector is a sequential test of one class at one target. Weigh returns the
+// new value of the test, whose value was score, after the evidence of one Tick.
+// The Monitor keeps values within 0 and maxSeverity and condemns the target at
+// 1. An unchanged score means that there was no evidence.
 type Detector interface {
-	Weigh(now time.Time, e *Evidence, peers Peers) (step float64, reason string)
+	Weigh(e *Evidence, peers Peers, score float64) (next float64, reason string)
 }
 
 // Age judges the age of the oldest work in flight and the usual run time
 // against the peers. It finds stalls before any request ends.
 type Age struct{}
 
+var stallThreshold, partThreshold, slowThreshold, slowFactor = envf("ST", 20), envf("PT", 18), envf("SL", 6), envf("SF", 3)
+
+func envf(n string, d float64) float64 {
+	if v, err := strconv.ParseFloat(os.Getenv(n), 64); err == nil {
+		return v
+	}
+	return d
+}
+
 const (
-	// stallThreshold is the sum of the logarithms of the excess age, one a tick,
-	// that condemns. It takes about 0.9 s of a full stall at 20 requests/s.
-	stallThreshold = 3.0
 	// stallFactor is how many times the peers' pace is normal for the oldest
 	// work.
 	stallFactor = 4.0
-	// dryAnswers is how many answers a target must have failed to give, at the
-	// rate of its own past and of its peers' present, before the age of its
-	// oldest work counts. One long outlier beside other work is no stall; the
-	// chance of a gap of 6 answers in steady work is e^-6 and shrinks further
-	// while the sum grows.
-	dryAnswers = 6.0
+	// maxAgeEvidence bounds what age alone contributes to stallThreshold.
+	maxAgeEvidence = 8.0
+	// partRate is the part of the usual answers that a partly stalled target
+	// still gives; the sequential test is between this rate and the usual one.
+	partRate = 1.0 / 8
+	// longWorkFactor is the part of a target's usual rate that is expected while
+	// long work takes some of its slots.
+	longWorkFactor = 0.5
 	// minStall is the shortest age that counts as a stall, so that pauses of a
 	// VM do not look like one when run times are short.
 	minStall = 250 * time.Millisecond
-	// maxStep bounds what one tick adds.
-	maxStep = 1.5
-	// slowThreshold is the sum of the logarithms of the excess run time, one a
-	// completion, that condemns.
-	slowThreshold = 12.0
-	// slowFactor is how many times the peers' usual run time is normal; VMs of
-	// one service differ by up to 2 times.
-	slowFactor = 2.5
 	// slowCompletions is how many completions the usual run time needs.
 	slowCompletions = 10
+	// maxSlowStep bounds what one completion adds.
+	maxSlowStep = 1.5
 )
 
 // Weigh implements Detector.
-func (Age) Weigh(_ time.Time, e *Evidence, peers Peers) (float64, string) {
+func (Age) Weigh(e *Evidence, peers Peers, score float64) (float64, string) {
 	if peers.Count < minPeers {
-		return 0, ""
+		return score, ""
 	}
-	step, reason := stall(e, peers)
-	if slow, why := slowness(e, peers); slow > 0 && slow > step || step == 0 {
-		step, reason = slow, why
+	next, reason := stall(e, peers, score)
+	if slow, why := slowness(e, peers, score); next == score || slow > next {
+		next, reason = slow, why
 	}
-	return step, reason
+	return next, reason
 }
 
-func stall(e *Evidence, peers Peers) (float64, string) {
+// stall weighs missing answers while the oldest work is too old. A long outlier
+// beside other work adds nothing, because the answers go on.
+func stall(e *Evidence, peers Peers, score float64) (float64, string) {
 	if e.Oldest == 0 || peers.Pace == 0 {
-		return 0, ""
+		return score, ""
 	}
 	// While the whole service stood still, age says nothing about this target.
 	age := min(e.Oldest, peers.Progress)
-	missing := min(e.Rate, peers.Rate) * e.Gap.Seconds()
-	if age < minStall || missing < dryAnswers {
-		return 0, ""
+	excess := float64(age) / float64(peers.Pace)
+	if age < minStall || excess < stallFactor {
+		return score, ""
+	}
+	rate := min(e.Rate, peers.Rate)
+	if e.LongWork {
+		rate *= longWorkFactor
 	}
-	step := math.Log(float64(age) / float64(peers.Pace) / stallFactor)
-	return max(0, min(step, maxStep)) * e.Elapsed / stallThreshold,
-		fmt.Sprintf("oldest work %s against %s at %d peers, %.0f answers missing", round(e.Oldest), round(peers.Pace), peers.Count, missing)
+	// The chance of a gap without answers in steady work, and of an age that is
+	// so much longer than usual (log-normal run times), as natural logarithms.
+	gap := rate * min(e.Gap, peers.Progress).Seconds()
+	full := (gap + min(math.Pow(math.Log(excess), 2)/2, maxAgeEvidence)) / stallThreshold
+	part := score + ((1-partRate)*rate*e.Elapsed*tickTime.Seconds()-math.Log(1/partRate)*e.Answers)/partThreshold
+	return max(full, part), fmt.Sprintf("oldest work %s against %s at %d peers, %.0f answers missing",
+		round(e.Oldest), round(peers.Pace), peers.Count, gap)
 }
 
-// slowness also takes the sum down again: every completion at the usual speed
+// slowness also takes the value down again: every completion at the usual speed
 // is evidence for health.
-func slowness(e *Evidence, peers Peers) (float64, string) {
+func slowness(e *Evidence, peers Peers, score float64) (float64, string) {
 	if e.Completed == 0 || peers.Typical == 0 {
-		return 0, ""
+		return score, ""
 	}
 	step := math.Log(float64(e.Typical) / float64(peers.Typical) / slowFactor)
 	if step > 0 && (e.Total < slowCompletions || e.Cold) {
-		return 0, ""
+		return score, ""
 	}
-	return max(-1, min(step, maxStep)) * min(e.Completed, 3*max(1, e.Elapsed)) / slowThreshold,
+	return score + max(-1, min(step, maxSlowStep))*min(e.Completed, 3*max(1, e.Elapsed))/slowThreshold,
 		fmt.Sprintf("usual run time %s against %s at %d peers", round(e.Typical), round(peers.Typical), peers.Count)
 }
 
@@ -100,10 +114,10 @@
 
 const (
 	// rateThreshold is the log-likelihood ratio that condemns. At 20 requests/s
-	// and 20 targets, a run of an hour has about 1.4 million requests; e^-12
+	// and 20 targets, a run of an hour has about 1.4 million requests; e^-14
 	// keeps the chance of a false ejection in it below a few percent even if
 	// every request started a test of its own.
-	rateThreshold = 12.0
+	rateThreshold = 14.0
 	// baseErrorRate is tolerated even when the peers have no errors.
 	baseErrorRate = 0.005
 	// rateFactor is how many times the peers' error rate is normal.
@@ -111,22 +125,19 @@
 	// maxErrorRate of the peers: above it no target can be told apart.
 	maxErrorRate = 0.5
 	// maxRateStep bounds what one tick adds: a single burst does not condemn.
-	maxRateStep = 3.0
+	maxRateStep = 2.0
 )
 
 // Weigh implements Detector.
-func (SuccessRate) Weigh(_ time.Time, e *Evidence, peers Peers) (float64, string) {
+func (SuccessRate) Weigh(e *Evidence, peers Peers, score float64) (float64, string) {
 	answers := e.Completed + e.Failed
-	if peers.Count < minPeers || answers == 0 {
-		return 0, ""
-	}
 	normal := max(baseErrorRate, rateFactor*peers.ErrorRate)
-	if normal > maxErrorRate {
-		return 0, ""
+	if peers.Count < minPeers || answers == 0 || normal > maxErrorRate {
+		return score, ""
 	}
 	sick := min(max(normal+0.04, 3*normal), 0.95)
 	step := e.Failed*math.Log(sick/normal) + e.Completed*math.Log((1-sick)/(1-normal))
 	step = max(-maxRateStep, min(step, maxRateStep*max(1, e.Elapsed)))
-	return step / rateThreshold, fmt.Sprintf("errors %.0f%% against %.1f%% at %d peers",
+	return score + step/rateThreshold, fmt.Sprintf("errors %.0f%% against %.1f%% at %d peers",
 		100*e.slow.failures/max(e.slow.answers, 1), 100*peers.ErrorRate, peers.Count)
 }
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -39,10 +39,14 @@
 	Cold bool
 	// LastCompletion is when a sample last counted a completion.
 	LastCompletion time.Time
-	// Gap is the time since the target last ended any request, and Rate is how
-	// many it used to end per second. Both cover all classes.
-	Gap  time.Duration
-	Rate float64
+	// Answers is how many requests of any class the target ended since the last
+	// Tick, Rate how many a second it usually ends, and Gap the time since the
+	// last one.
+	Answers, Rate float64
+	Gap           time.Duration
+	// LongWork is set while work of a class that runs much longer than others
+	// is in flight; it explains missing answers.
+	LongWork bool
 
 	fast, slow rate
 	sampled    time.Time
@@ -107,24 +111,41 @@
 // answerRate counts the ends of a target's requests of all classes.
 type answerRate struct {
 	fast, slow rate
+	started    time.Time
 	updated    time.Time
 	last       time.Time
+	tick       float64 // since the last Tick
 }
 
 // update decays the counts to now and adds n answers.
 func (a *answerRate) update(now time.Time, n float64) {
-	if !a.updated.IsZero() {
-		a.fast.decay(now.Sub(a.updated), time.Second)
-		a.slow.decay(now.Sub(a.updated), slowWindow)
+	if a.updated.IsZero() {
+		a.started = now
+	} else {
+		a.fast.decay(now.Sub(a.updated), currentWindow)
+		a.slow.decay(now.Sub(a.updated), usualWindow)
 	}
 	a.updated = now
 	a.fast.answers += n
 	a.slow.answers += n
+	a.tick += n
 	if n > 0 {
 		a.last = now
 	}
 }
 
+// usual returns the usual number of answers a second. It is not biased by the
+// time before the first one.
+func (a *answerRate) usual(now time.Time) float64 {
+	seen := 1 - math.Exp(-now.Sub(a.started).Seconds()/usualWindow.Seconds())
+	return a.slow.answers / usualWindow.Seconds() / max(seen, 0.1)
+}
+
+const (
+	currentWindow = time.Second
+	usualWindow   = 10 * time.Second
+)
+
 // clearTick forgets the counts that the detectors have weighed.
 func (e *Evidence) clearTick() { e.Fresh, e.Completed, e.Failed, e.Elapsed = false, 0, 0, 0 }
 
--- a/internal/health/monitor.go
+++ b/internal/health/monitor.go
@@ -214,10 +214,11 @@
 	for _, t := range s.targets {
 		t.answers.update(now, 0)
 		if t.record.State == fleet.TargetServing && t.verdict.State == Healthy {
-			rates = append(rates, t.answers.fast.answers)
+			rates = append(rates, t.answers.fast.answers/currentWindow.Seconds())
 		}
 		for class, e := range t.classes {
-			e.Gap, e.Rate = now.Sub(t.answers.last), t.answers.slow.answers/slowWindow.Seconds()
+			e.Answers, e.Rate, e.Gap = t.answers.tick, t.answers.usual(now), now.Sub(t.answers.last)
+			e.LongWork = t.longWork(now)
 			e.Cold = now.Sub(t.record.Started) < warmUp
 			if t.record.State == fleet.TargetServing && t.verdict.State != Ejected {
 				byClass[class] = append(byClass[class], e)
@@ -248,20 +249,37 @@
 		}
 	}
 	for _, t := range s.targets {
+		t.answers.tick = 0
 		for _, e := range t.classes {
 			e.clearTick()
 		}
 	}
 }
 
+// longWork reports whether work of a class is in flight that usually runs more
+// than ten times as long as that of another class.
+func (t *target) longWork(now time.Time) bool {
+	var shortest, longest time.Duration
+	for _, e := range t.classes {
+		if e.Typical > 0 && (shortest == 0 || e.Typical < shortest) {
+			shortest = e.Typical
+		}
+		if e.known(now) && e.Oldest > 0 {
+			longest = max(longest, e.Typical)
+		}
+	}
+	return longest > 10*shortest
+}
+
 func (t *target) weigh(now time.Time, class string, e *Evidence, peers Peers, detectors []Detector) {
 	for i, d := range detectors {
-		step, reason := d.Weigh(now, e, peers)
-		if step > 0 && now.Sub(t.suspect) < suspicionTime {
-			step *= suspicion
+		old := e.scores[i]
+		next, reason := d.Weigh(e, peers, old)
+		if next > old && now.Sub(t.suspect) < suspicionTime {
+			next = old + (next-old)*suspicion
 		}
-		e.scores[i] = min(max(e.scores[i]+step, 0), maxSeverity)
-		if step > 0 {
+		e.scores[i] = min(max(next, 0), maxSeverity)
+		if next > old {
 			e.reasons[i] = class + ": " + reason
 		}
 	}
--- a/internal/health/sim_test.go
+++ b/internal/health/sim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/fleet"
@@ -85,6 +86,7 @@
 	speed    float64
 	answers  [ingresses]uint32
 	cuts     uint32
+	packs    int
 }
 
 type sim struct {
@@ -211,8 +213,12 @@
 
 func (s *sim) start(t *simTarget) {
 	for len(t.running) < 4 && len(t.queue) > 0 {
-		req := t.queue[0]
-		t.queue = t.queue[1:]
+		at := slices.IndexFunc(t.queue, func(r simRequest) bool { return r.class != "pack" || t.packs < 2 })
+		if at < 0 {
+			return
+		}
+		req := t.queue[at]
+		t.queue = slices.Delete(t.queue, at, at+1)
 		left := req.arrived + deadline - s.now
 		if left <= 4*meanRun { // the queue refuses what cannot end in time
 			s.ended(t, req, false)
@@ -222,6 +228,9 @@
 		if req.class != "pack" && took > left {
 			took, req.result, req.timeout = left, health.ResultCancelled, true
 		}
+		if req.class == "pack" { // as admission does, see package admission
+			t.packs++
+		}
 		t.running[req.id] = req
 		t.recorder.Begin(req.id, req.class, s.clock())
 		s.schedule(simEvent{at: s.now + took, kind: 1, target: s.index(t), id: req.id})
@@ -286,6 +295,9 @@
 		return
 	}
 	delete(t.running, e.id)
+	if req.class == "pack" {
+		t.packs--
+	}
 	t.recorder.End(e.id, req.result, s.clock())
 	if !req.timeout {
 		t.answers[req.ingress]++
