--- a/internal/health/detector.go
+++ b/internal/health/detector.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"os"
-	"strconv"
 	"time"
 )
 
@@ -20,16 +18,25 @@
 // against the peers. It finds stalls before any request ends.
 type Age struct{}
 
-var stallThreshold, partThreshold, slowThreshold, slowFactor = envf("ST", 20), envf("PT", 18), envf("SL", 6), envf("SF", 3)
-
-func envf(n string, d float64) float64 {
-	if v, err := strconv.ParseFloat(os.Getenv(n), 64); err == nil {
-		return v
-	}
-	return d
-}
-
+// The thresholds are the smallest ones that led to no false ejection in the
+// 1,000 healthy runs of BenchmarkDetection; lower ones led to 2 to 6. See
+// docs/traffic-decisions.md.
 const (
+	// stallThreshold condemns a full stall: natural logarithm of the chance that
+	// a healthy target shows the same.
+	stallThreshold = 18.0
+	// partThreshold condemns a stall of a part of the work: log-likelihood ratio
+	// of the rate of answers.
+	partThreshold = 20.0
+	// slowThreshold condemns slowness: sum of the logarithms of the excess run
+	// time, one a completion.
+	slowThreshold = 12.0
+	// slowFactor is how many times the peers' usual run time is normal; VMs of
+	// one service differ by up to 2 times.
+	slowFactor = 3.0
+	// partNormal is the part of the median rate of answers that a healthy target
+	// may fall to when the whole service becomes slow.
+	partNormal = 0.7
 	// stallFactor is how many times the peers' pace is normal for the oldest
 	// work.
 	stallFactor = 4.0
@@ -80,9 +87,9 @@
 	}
 	// The chance of a gap without answers in steady work, and of an age that is
 	// so much longer than usual (log-normal run times), as natural logarithms.
-	gap := rate * min(e.Gap, peers.Progress).Seconds()
+	gap := rate * min(e.Gap, e.Oldest, peers.Progress).Seconds()
 	full := (gap + min(math.Pow(math.Log(excess), 2)/2, maxAgeEvidence)) / stallThreshold
-	part := score + ((1-partRate)*rate*e.Elapsed*tickTime.Seconds()-math.Log(1/partRate)*e.Answers)/partThreshold
+	part := score + ((1-partRate)*partNormal*rate*e.Elapsed*tickTime.Seconds()-math.Log(1/partRate)*e.Answers)/partThreshold
 	return max(full, part), fmt.Sprintf("oldest work %s against %s at %d peers, %.0f answers missing",
 		round(e.Oldest), round(peers.Pace), peers.Count, gap)
 }
--- a/internal/health/monitor.go
+++ b/internal/health/monitor.go
@@ -257,7 +257,7 @@
 }
 
 // longWork reports whether work of a class is in flight that usually runs more
-// than ten times as long as that of another class.
+// than ten times as long as that of another class, or may do so.
 func (t *target) longWork(now time.Time) bool {
 	var shortest, longest time.Duration
 	for _, e := range t.classes {
@@ -265,6 +265,9 @@
 			shortest = e.Typical
 		}
 		if e.known(now) && e.Oldest > 0 {
+			if e.Typical == 0 {
+				return true // nothing is known of this class yet
+			}
 			longest = max(longest, e.Typical)
 		}
 	}
--- a/internal/health/recorder.go
+++ b/internal/health/recorder.go
@@ -29,7 +29,7 @@
 
 // typicalWeight is the weight of one run time in the decayed mean. The mean of
 // logarithms is used because single long run times hardly move it.
-const typicalWeight = 1.0 / 8
+const typicalWeight = 1.0 / 12
 
 // Result is how a request ended at the target.
 type Result uint8
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -43,29 +43,31 @@
 	e.reported.Store(now.UnixNano())
 }
 
-// The load word: requests at the target (16 bits), own outstanding attempts at
-// the time of the report (16 bits), expected work in microseconds (32 bits).
+// The load word: requests in flight at the target (16 bits), own outstanding
+// attempts at the time of the report (16 bits), expected work in microseconds
+// (32 bits).
 const max16, max32 = 1<<16 - 1, 1<<32 - 1
 
 func packLoad(l fleet.Load, own int64) uint64 {
-	busy := min(uint64(max(l.InFlight+l.Queued, 0)), max16)
 	work := min(uint64(max(l.QueuedWork.Microseconds(), 0)), max32)
-	return busy<<48 | min(uint64(max(own, 0)), max16)<<32 | work
+	return min(uint64(max(l.InFlight, 0)), max16)<<48 | min(uint64(max(own, 0)), max16)<<32 | work
 }
 
-// estimate returns how many requests are at the target and the mean run time of
-// one of them in nanoseconds. The report already contains the attempts that
-// were outstanding when it was made, so only the difference is added.
-func (e *Endpoint) estimate(now int64) (requests, perRequest int64) {
+// estimate returns how many requests hold or want a slot of the target and how
+// much work waits there in nanoseconds. The report already contains the
+// attempts that were outstanding when it was made, so only later ones are added.
+// Queued requests are not counted: while a slot is free, the sidecar holds back
+// long work only, and otherwise the work says how long the queue is.
+func (e *Endpoint) estimate(now int64) (requests, work int64) {
 	own := e.outstanding.Load()
-	perRequest = int64(DefaultRunTime)
 	if now-e.reported.Load() >= int64(LoadMaxAge) {
-		return own, perRequest
+		return own, own * int64(DefaultRunTime)
 	}
 	w := e.load.Load()
-	busy, then, work := int64(w>>48), int64(w>>32&max16), int64(w&max32)
-	if busy > 0 && work > 0 {
-		perRequest = work * 1000 / busy
+	inFlight, later, work := int64(w>>48), max(0, own-int64(w>>32&max16)), int64(w&max32)*1000
+	perRequest := int64(DefaultRunTime)
+	if inFlight > 0 && work > 0 {
+		perRequest = work / inFlight
 	}
-	return max(own, busy+own-then), perRequest
+	return inFlight + later, work + later*perRequest
 }
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -154,10 +154,10 @@
 // distance, the wait for a slot, and, below full slots, up to half the distance
 // so that idle targets are preferred without leaving the data centre.
 func (c *candidate) cost(now int64) int64 {
-	requests, perRequest := c.ep.estimate(now)
+	requests, work := c.ep.estimate(now)
 	cost := c.distance + int64(DefaultDistance)*min(requests, c.slots)/c.slots
-	if over := requests + 1 - c.slots; over > 0 {
-		cost += perRequest * over / c.slots
+	if requests >= c.slots {
+		cost += work / c.slots
 	}
 	if since := now - c.ep.failed.Load(); since < int64(FailureMemory) {
 		cost += int64(FailureCost) * (int64(FailureMemory) - since) / int64(FailureMemory)
