Make only settled readers watch the platform

Change: a starting node waits 300 ms before it reads and until membership has settled before it watches; an envelope from a peer counts as news of the peer's version; the newest version is kept instead of searched at each step.

--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -52,6 +52,24 @@
 		b.ReportMetric(float64(sent()-before)/nodeSeconds, "bytes-per-second")
 		b.ReportMetric(100*n.busy.Seconds()/nodeSeconds, "cpu-percent")
 
+		// version-ms is the time until every node heard of one node's version.
+		began := n.now
+		n.step(n.order[size/2], membership.BundleActivated{Version: 9})
+		if !n.runUntil(time.Minute, func() bool {
+			for _, m := range n.order {
+				// In relay mode, versions of nodes that are no relays stay in
+				// their data centre.
+				if known, _ := m.machine.Node(n.order[size/2].self.ID); known.BundleVersion != 9 &&
+					(all || m.self.DataCentre == n.order[size/2].self.DataCentre) {
+					return false
+				}
+			}
+			return true
+		}) {
+			b.Error("the version did not reach all nodes")
+		}
+		b.ReportMetric(float64(n.now.Sub(began).Milliseconds()), "version-ms")
+
 		var took []time.Duration
 		kills := 7
 		if size > 640 {
--- a/internal/rollout/fetch.go
+++ b/internal/rollout/fetch.go
@@ -44,6 +44,10 @@
 		m.reject(from, version, err)
 		return
 	}
+	if from != Platform {
+		// The peer has it in force, even if membership's news comes later.
+		m.heard(Heard{From: from, Version: version})
+	}
 	fromPlatform := from == Platform
 	switch {
 	case m.now.Before(m.refused[digest]):
@@ -149,7 +153,10 @@
 	if m.envelope != nil {
 		return
 	}
-	from := m.pick(func(id fleet.NodeID) bool { return m.nodes[id].BundleVersion > m.known() && !m.now.Before(m.nextTry) })
+	from := fleet.NodeID("")
+	if m.newest() > m.known() && !m.now.Before(m.nextTry) {
+		from = m.pick(func(id fleet.NodeID) bool { return m.nodes[id].BundleVersion > m.known() })
+	}
 	if from == "" && !m.start.ready {
 		from = m.pick(func(id fleet.NodeID) bool { return !m.start.answered[id] })
 	}
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -43,6 +43,9 @@
 	nodes  map[fleet.NodeID]fleet.Node
 	live   []fleet.NodeID // usable peers, ordered, without the own node
 	reader bool
+	// newestVersion is the result of newest while newestKnown is set.
+	newestVersion uint64
+	newestKnown   bool
 
 	inForce   Content
 	confirmed bool // the platform has, or had, the digest in force
@@ -96,7 +99,7 @@
 // New returns a machine for the node self without a bundle in force.
 func New(self fleet.NodeID, verifier Verifier, cfg Config) *Machine {
 	cfg = cfg.withDefaults()
-	return &Machine{
+	m := &Machine{
 		self: self, verifier: verifier, cfg: cfg,
 		random:    rand.New(rand.NewPCG(cfg.Seed, xxhash.Sum64String(string(self)))),
 		nodes:     make(map[fleet.NodeID]fleet.Node),
@@ -105,6 +108,8 @@
 		refused:   make(map[string]time.Time),
 		start:     start{answered: make(map[fleet.NodeID]bool)},
 	}
+	m.chooseReader()
+	return m
 }
 
 // InForce returns the version in force and its digest, 0 and "" for none.
@@ -169,6 +174,10 @@
 }
 
 func (m *Machine) nodeChanged(n fleet.Node) {
+	old := m.nodes[n.ID]
+	if n.State == fleet.NodeDead {
+		n.BundleVersion = 0
+	}
 	if n.State == fleet.NodeDead {
 		delete(m.nodes, n.ID)
 		delete(m.avoid, n.ID)
@@ -177,14 +186,18 @@
 	}
 	i := sort.Search(len(m.live), func(i int) bool { return m.live[i] >= n.ID })
 	known := i < len(m.live) && m.live[i] == n.ID
+	m.noteVersion(old.BundleVersion, n.BundleVersion)
 	switch wanted := n.ID != m.self && n.Usable(); {
-	case wanted && !known:
+	case wanted == known:
+		return
+	case wanted:
 		m.live = append(m.live, "")
 		copy(m.live[i+1:], m.live[i:])
 		m.live[i] = n.ID
-	case !wanted && known:
+	default:
 		m.live = append(m.live[:i], m.live[i+1:]...)
 	}
+	m.newestKnown = m.newestKnown && n.BundleVersion < m.newestVersion
 	m.chooseReader()
 }
 
@@ -217,17 +230,28 @@
 	if !ok || e.Version <= n.BundleVersion {
 		return
 	}
+	m.noteVersion(n.BundleVersion, e.Version)
 	n.BundleVersion = e.Version
 	m.nodes[e.From] = n
 }
 
+// noteVersion keeps the result of newest right when a node's version changes.
+func (m *Machine) noteVersion(old, new uint64) {
+	// With the maximum itself, the state of the node matters as well.
+	if max(old, new) > m.newestVersion || (old == m.newestVersion && new != old) {
+		m.newestKnown = false
+	}
+}
+
 // newest returns the highest version that a live peer has in force.
 func (m *Machine) newest() uint64 {
-	var newest uint64
-	for _, id := range m.live {
-		newest = max(newest, m.nodes[id].BundleVersion)
+	if !m.newestKnown {
+		m.newestVersion, m.newestKnown = 0, true
+		for _, id := range m.live {
+			m.newestVersion = max(m.newestVersion, m.nodes[id].BundleVersion)
+		}
 	}
-	return newest
+	return m.newestVersion
 }
 
 // known returns the highest version whose envelope was verified here.
@@ -248,8 +272,8 @@
 	waited := m.now.Sub(s.began)
 	if !s.enough {
 		answered := 0
-		for _, id := range m.live {
-			if s.answered[id] {
+		for id := range s.answered {
+			if n, ok := m.nodes[id]; ok && n.Usable() {
 				answered++
 			}
 		}
--- a/internal/rollout/platform.go
+++ b/internal/rollout/platform.go
@@ -2,6 +2,11 @@
 
 import "time"
 
+// readDelay is how long a starting node lets membership find peers before it
+// considers itself a reader and reads the platform. Without it, all nodes of a
+// fleet that starts at once would read.
+const readDelay = 300 * time.Millisecond
+
 // callPlatform starts the platform call that is due: a reader reads once and
 // then watches without a break; the others read at start when peers do not
 // answer, and rarely afterwards.
@@ -10,10 +15,12 @@
 	if p.busy && !m.now.Before(p.busyTill) {
 		m.platformFailed()
 	}
-	if p.busy || m.now.Before(p.next) {
+	waited := m.now.Sub(m.start.began)
+	if p.busy || m.now.Before(p.next) || waited < readDelay {
 		return
 	}
 	switch {
+	case m.reader && p.read && waited < m.cfg.Settle:
 	case m.reader && p.read:
 		m.stats.PlatformWatches++
 		m.platformBusy()
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -186,9 +186,11 @@
 	conflicting := envelope{Version: 2, Author: "other"}
 	step(0, rollout.NodeChanged{Node: fleet.Node{ID: "node-0000", DataCentre: "dc-0"}})
 	step(0, rollout.NodeChanged{Node: peer})
+	step(500*time.Millisecond, rollout.Tick{})
 	step(time.Second, rollout.EnvelopeReceived{From: peer.ID})
 	step(time.Second, rollout.PlatformRead{Envelope: first.encode(), Revision: 7})
 	step(time.Second, rollout.PiecesReceived{Pieces: map[string][]byte{first.Pieces[0]: []byte("a"), first.Pieces[1]: []byte("b")}})
+	step(2*time.Second, rollout.Tick{})
 	step(2*time.Second, rollout.PlatformRead{Watch: true, Err: platform.ErrUnavailable})
 	step(2*time.Second, rollout.NodeChanged{Node: newer})
 	step(2*time.Second, rollout.EnvelopeReceived{From: peer.ID, Envelope: second.encode()})
