Detect losses in other data centres sooner

Cause: in relay mode, nodes of other data centres learned of a death late, because only the nodes that check by themselves do without the news. Change: the death of a node of another data centre is pushed; relays probe the nodes that would replace relays in doubt.

--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -29,6 +29,9 @@
 	// are not passed on. A joining node learns the whole fleet and need not
 	// repeat it.
 	quietAfterStart = 15 * time.Second
+	// crowd is from how many queued state changes on a push goes to one node
+	// only. Each push carries several of them then, and the budget is short.
+	crowd = 8
 	// refuteInterval bounds how often the own incarnation is raised, so that
 	// two processes with one identifier do not outbid each other without end.
 	refuteInterval = 100 * time.Millisecond
@@ -397,12 +400,15 @@
 
 // push sends one update to random nodes of the list.
 func (m *Machine) push(u update, list []*peer) {
-	class := bulk
+	class, fanout := bulk, m.cfg.Fanout
 	if u.rank == stateRank {
 		class = state
+		if len(m.local.lists[stateRank]) > crowd {
+			fanout = 1
+		}
 	}
-	sent := make([]*peer, 0, m.cfg.Fanout)
-	for range m.cfg.Fanout {
+	sent := make([]*peer, 0, fanout)
+	for range fanout {
 		p := m.randomPeer(list, func(p *peer) bool {
 			return m.exceptSelf(p) && p.trusted() && string(p.node.ID) != u.key && !contains(sent, p)
 		})
@@ -497,29 +503,50 @@
 	return m.centres[m.self.node.DataCentre]
 }
 
-// relays returns the live nodes of a data centre with the lowest identifier
-// hashes.
+// relays returns the relays of a data centre: the live nodes with the lowest
+// identifier hashes.
 func (m *Machine) relays(centre string) []*peer {
-	relays := make([]*peer, 0, m.cfg.Relays)
+	return m.lowest(centre, func(p *peer) bool { return p.usable() && p.node.State != fleet.NodeLeaving })
+}
+
+// lowest returns the wanted nodes of a data centre with the lowest hashes, as
+// many as there are relays.
+func (m *Machine) lowest(centre string, wanted func(*peer) bool) []*peer {
+	found := make([]*peer, 0, m.cfg.Relays)
 	for _, p := range m.centres[centre] {
-		if p.usable() && p.node.State != fleet.NodeLeaving {
-			relays = append(relays, p)
-			if len(relays) == m.cfg.Relays {
+		if wanted(p) {
+			found = append(found, p)
+			if len(found) == m.cfg.Relays {
 				break
 			}
 		}
 	}
-	return relays
+	return found
 }
 
 func (m *Machine) isRelay(p *peer) bool { return contains(m.relays(p.node.DataCentre), p) }
 
 // remoteRelays returns the relays of the other data centres, ordered by hash.
-func (m *Machine) remoteRelays() []*peer {
+func (m *Machine) remoteRelays() []*peer { return m.otherCentres(m.relays) }
+
+// remoteCandidates returns the nodes of other data centres that a relay probes:
+// their relays and, while those are in doubt, the nodes that would replace them.
+// When a whole data centre is lost, it is swept in this way.
+func (m *Machine) remoteCandidates() []*peer {
+	return m.otherCentres(m.candidates)
+}
+
+func (m *Machine) candidates(centre string) []*peer {
+	return m.lowest(centre, func(p *peer) bool {
+		return p.trusted() && p.node.State != fleet.NodeLeaving && !m.waiting(p)
+	})
+}
+
+func (m *Machine) otherCentres(choose func(centre string) []*peer) []*peer {
 	var all []*peer
 	for centre := range m.centres {
 		if centre != m.self.node.DataCentre {
-			all = append(all, m.relays(centre)...)
+			all = append(all, choose(centre)...)
 		}
 	}
 	sort.Slice(all, func(i, j int) bool { return before(all[i], all[j].hash, all[j].node.ID) })
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -66,7 +66,7 @@
 		return
 	}
 	if !m.cfg.ProbeAll && m.turn%8 != 7 && m.isRelay(m.self) {
-		relays := m.remoteRelays()
+		relays := m.remoteCandidates()
 		target := m.successor(relays)
 		if m.turn%8 == 3 {
 			target = m.randomPeer(relays, m.dueAtRandom)
@@ -196,7 +196,11 @@
 		}
 		if m.impaired == 0 {
 			// The next node on the ring may have failed together with this one.
-			m.probe(m.successor(m.reach()), false)
+			list := m.reach()
+			if !contains(list, pr.target) {
+				list = m.candidates(pr.target.node.DataCentre)
+			}
+			m.probe(m.successor(list), false)
 		}
 	case pr.round == 2:
 		m.askHelpers(pr, m.cfg.IndirectProbes)
@@ -341,8 +345,13 @@
 	p.node.State = fleet.NodeDead
 	p.deadSince = m.now
 	m.emit(NodeChanged{p.node})
-	// Most nodes come to the same verdict by themselves.
-	m.spread(p, rumour(p), stateRank, 0)
+	var how spreadFlags
+	if !m.cfg.ProbeAll && p.node.DataCentre != m.self.node.DataCentre {
+		how = push
+	}
+	// Nodes that check p themselves come to the same verdict; the others wait
+	// for this news.
+	m.spread(p, rumour(p), stateRank, how)
 }
 
 // reconnect pings one dead node and one unknown seed, so that the two sides of
