--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -44,7 +44,7 @@
 	var out []announce.Action
 	for _, a := range actions {
 		if b, ok := a.(announce.Broadcast); ok {
-			out = append(out, to.Step(now, announce.RemoteUpdate{Target: b.Target})...)
+			out = append(out, to.Step(now, announce.RemoteUpdate(b))...)
 		}
 	}
 	return out
