Complete siskinvalectl and drive it against a real fleet

Operators could not release key ranges or change the log level, and some answers of a running node read wrongly: a node with a bundle in force was shown with version 0 for up to 250 ms, a drain was not visible in the list of targets at once, a mistyped service gave an empty list or an accepted release, and JSON from nodes was one unformatted line.

A node refuses a release that it would ignore: unknown service, no keyed class, or no local target. "node log-level LEVEL" refuses levels that hide alarms. "bundle status" exits with 1 when no bundle is in force.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -434,7 +434,7 @@
 }
 
 func (n *fakeNode) SetLogLevel(context.Context, *controlv1.SetLogLevelRequest) (*controlv1.SetLogLevelResponse, error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, nil)
+	return &controlv1.SetLogLevelResponse{Previous: "info"}, nil
 }
 
 var _ = Describe("waiting for nodes", func() {
@@ -498,9 +498,10 @@
 		}
 		var out strings.Builder
 		for _, args := range []string{"node status", "bundle status", "targets", "node drain --target t-1", "node undrain --target t-1",
-			"explain get http://indices.example:8000/v1/grids/1%202?x=y --tenant app"} {
+			"node log-level DEBUG", "operations release indices --yes", "explain get http://indices.example:8000/v1/grids/1%202?x=y --tenant app"} {
 			Expect(call(strings.Fields(args)...)).To(Equal(ExitOK), o.stderr.String())
-			fmt.Fprintf(&out, "$ siskinvalectl %s\n%s\n", args, o.stdout.String())
+			shown := strings.ReplaceAll(o.stdout.String(), server.Listener.Addr().String(), "NODE")
+			fmt.Fprintf(&out, "$ siskinvalectl %s\n%s\n", args, shown)
 		}
 		goldie.New(GinkgoTB()).Assert(GinkgoTB(), "node", []byte(out.String()))
 		Expect(node.drained).To(Equal([]string{"drain t-1", "undrain t-1"}))
@@ -525,6 +526,7 @@
 		Entry(nil, ExitOK, "--help"), Entry(nil, ExitOK, "--version"), Entry(nil, ExitOK, "bundle", "check", "--help"),
 		Entry(nil, ExitUsage), Entry(nil, ExitUsage, "bundle"), Entry(nil, ExitUsage, "frob"), Entry(nil, ExitUsage, "targets", "--frob"),
 		Entry(nil, ExitUsage, "bundle", "check"), Entry(nil, ExitUsage, "bundle", "check", "missing.yaml"),
+		Entry(nil, ExitUsage, "operations", "release", "indices"), Entry(nil, ExitUsage, "node", "log-level", "fatal"),
 		Entry(nil, ExitUsage, "node", "status"), Entry(nil, ExitUsage, "explain", "GET", "http://10.0.0.1/x"),
 		Entry(nil, ExitOK, "bundle", "check", "../../examples/regie.yaml", "../../examples/magnolia.yaml"),
 		Entry(nil, ExitRefused, "bundle", "check", "../bundle/testdata/faulty.yaml"),
--- a/internal/ctl/message.go
+++ b/internal/ctl/message.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"encoding/json"
 	"fmt"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -10,11 +11,10 @@
 // printMessage writes a node's answer in the JSON form of protobuf, with all
 // fields.
 func (a *app) printMessage(m proto.Message) error {
-	options := protojson.MarshalOptions{EmitUnpopulated: true}
-	encoded, err := options.Marshal(m)
+	encoded, err := protojson.MarshalOptions{EmitUnpopulated: true}.Marshal(m)
 	if err != nil {
 		return fmt.Errorf("write result: %w", err)
 	}
-	_, err = fmt.Fprintln(a.Stdout, string(encoded))
-	return err
+	// protojson varies its white space on purpose, so that it is set here.
+	return a.printJSON(json.RawMessage(encoded))
 }
--- a/internal/ctl/node.go
+++ b/internal/ctl/node.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"strings"
 
+	"github.com/sirupsen/logrus"
+
 	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
 )
 
@@ -26,9 +28,9 @@
 	if c.asJSON() {
 		return c.printMessage(status)
 	}
-	fmt.Fprintf(c.Stdout, "node %s: bundle %s version %d (%s), platform reachable %t, draining %t, %d requests in flight, log level %s\n",
-		status.GetSelf().GetId(), status.BundleName, status.BundleVersion, status.BundleDigest,
-		status.PlatformReachable, status.Draining, status.InFlight, status.LogLevel)
+	if err := c.printSelf(status); err != nil {
+		return err
+	}
 	var rows [][]string
 	for _, n := range knownNodes(status) {
 		rows = append(rows, []string{n.Id, n.Region, n.DataCentre, stateName(n.State), fmt.Sprint(n.BundleVersion), n.CallerAddr, n.OperatorAddr})
@@ -36,12 +38,76 @@
 	return c.printTable([]string{"NODE", "REGION", "DATA CENTRE", "STATE", "BUNDLE", "CALLERS", "OPERATORS"}, rows)
 }
 
+// printSelf shows what the answering node says about itself.
+func (a *app) printSelf(status *controlv1.StatusResponse) error {
+	self := status.GetSelf()
+	_, err := fmt.Fprintf(a.Stdout, "node %s: %s; %s; platform %s; %d requests in flight; log level %s\n",
+		self.GetId(), nodeWork(status), bundleText(status), reachability(status.PlatformReachable), status.InFlight, status.LogLevel)
+	return err
+}
+
+// nodeWork tells whether the node as a whole takes new work. A drain of its
+// targets is shown by the targets.
+func nodeWork(status *controlv1.StatusResponse) string {
+	if status.Draining {
+		return "stopping, refuses new work"
+	}
+	return stateName(status.GetSelf().GetState())
+}
+
+func bundleText(status *controlv1.StatusResponse) string {
+	if status.BundleVersion == 0 {
+		return "no bundle in force"
+	}
+	return fmt.Sprintf("bundle %s version %d (digest %s)", status.BundleName, status.BundleVersion, status.BundleDigest)
+}
+
+func reachability(reachable bool) string {
+	if reachable {
+		return "reachable"
+	}
+	return "not reachable"
+}
+
+type nodeLogLevel struct {
+	*app `no-flag:"true"`
+	Args struct {
+		Level string `positional-arg-name:"LEVEL" description:"error, warning, info, debug or trace"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute changes the log level until the node reloads its settings.
+func (c *nodeLogLevel) Execute([]string) error {
+	level, err := logrus.ParseLevel(c.Args.Level)
+	if err != nil {
+		return usage("unknown log level %q; the levels are error, warning, info, debug and trace", c.Args.Level)
+	}
+	if level < logrus.ErrorLevel {
+		// The events that need an operator are logged as errors.
+		return usage("log level %s would hide alarms; the highest level is error", level)
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	answer, err := callNode(c.app, client.SetLogLevel, &controlv1.SetLogLevelRequest{Level: level.String()})
+	if err != nil {
+		return err
+	}
+	if c.asJSON() {
+		return c.printJSON(map[string]string{"node": c.options.Node, "previous": answer.Previous, "level": level.String()})
+	}
+	_, err = fmt.Fprintf(c.Stdout, "log level of node %s is %s, was %s; SIGHUP or a restart sets the level of the settings again\n",
+		c.options.Node, level, answer.Previous)
+	return err
+}
+
 type nodeDrain struct {
 	*app   `no-flag:"true"`
-	Target string `long:"target" description:"drain this target only"`
+	Target string `long:"target" description:"drain this target only; without it, all targets beside the node"`
 }
 
-// Execute drains a node or one of its targets.
+// Execute drains one target beside a node, or all of them.
 func (c *nodeDrain) Execute([]string) error {
 	client, err := c.client()
 	if err != nil {
@@ -55,7 +121,7 @@
 
 type nodeUndrain struct {
 	*app   `no-flag:"true"`
-	Target string `long:"target" description:"undrain this target only"`
+	Target string `long:"target" description:"undrain this target only; without it, all targets beside the node"`
 }
 
 // Execute ends a drain.
@@ -75,12 +141,12 @@
 	if a.asJSON() {
 		return a.printJSON(map[string]string{"state": state, "node": a.options.Node, "target": target})
 	}
-	what := "node " + a.options.Node
 	if target != "" {
-		what = "target " + target
+		_, err := fmt.Fprintf(a.Stdout, "target %s is %s\n", target, state)
+		return err
 	}
-	fmt.Fprintf(a.Stdout, "%s is %s\n", what, state)
-	return nil
+	_, err := fmt.Fprintf(a.Stdout, "all targets of node %s are %s\n", a.options.Node, state)
+	return err
 }
 
 type targets struct {
@@ -99,7 +165,15 @@
 		return err
 	}
 	if c.asJSON() {
-		return c.printMessage(list)
+		if err := c.printMessage(list); err != nil {
+			return err
+		}
+	}
+	if c.Service != "" && len(list.Targets) == 0 {
+		return refused("node %s knows no targets of service %s", c.options.Node, c.Service)
+	}
+	if c.asJSON() {
+		return nil
 	}
 	var rows [][]string
 	for _, s := range list.Targets {
@@ -142,7 +216,11 @@
 	if c.asJSON() {
 		return c.printMessage(answer)
 	}
-	fmt.Fprintf(c.Stdout, "service %s, class %s, bundle version %d\n", answer.Service, answer.Class, answer.BundleVersion)
+	class := "class " + answer.Class
+	if answer.Class == "" {
+		class = "no class"
+	}
+	fmt.Fprintf(c.Stdout, "service %s, %s, bundle version %d\n", answer.Service, class, answer.BundleVersion)
 	for i, line := range answer.Lines {
 		fmt.Fprintf(c.Stdout, "%3d. %s\n", i+1, line)
 	}
--- a/internal/ctl/options.go
+++ b/internal/ctl/options.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"os"
 	"time"
 
@@ -54,8 +55,14 @@
 	}
 	if err := addGroup(p.Command, command{"node", "show and drain nodes", nil}, []command{
 		{"status", "show a node and the nodes it knows", &nodeStatus{app: a}},
-		{"drain", "refuse new work at a node or one of its targets", &nodeDrain{app: a}},
+		{"drain", "refuse new work at the targets beside a node, or at one of them", &nodeDrain{app: a}},
 		{"undrain", "accept new work again", &nodeUndrain{app: a}},
+		{"log-level", "change the log level until the next reload or restart", &nodeLogLevel{app: a}},
+	}); err != nil {
+		return err
+	}
+	if err := addGroup(p.Command, command{"operations", "recover key ranges of at-most-once operations", nil}, []command{
+		{"release", "release key ranges whose owner and standby are lost", &operationsRelease{app: a}},
 	}); err != nil {
 		return err
 	}
@@ -159,5 +166,9 @@
 func callNode[Request, Response any](a *app, call func(context.Context, *Request) (*Response, error), request *Request) (*Response, error) {
 	ctx, cancel := context.WithTimeout(a.Context, a.options.CallTimeout)
 	defer cancel()
-	return call(ctx, request)
+	response, err := call(ctx, request)
+	if err != nil {
+		return nil, fmt.Errorf("node %s: %w", a.options.Node, err)
+	}
+	return response, nil
 }
--- a/internal/ctl/rollout.go
+++ b/internal/ctl/rollout.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/schollz/progressbar/v3"
+	"google.golang.org/protobuf/proto"
 
 	"siskinvale.dev/siskinvale/internal/bundle"
 	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
@@ -128,11 +129,14 @@
 
 // knownNodes returns the answering node and the nodes it knows, ordered by
 // identifier. What the node says about itself is newer than its membership
-// entry.
+// entry, and its version in force is newer than its entry about itself, which
+// is written only a few times per second.
 func knownNodes(status *controlv1.StatusResponse) []*controlv1.Node {
 	var nodes []*controlv1.Node
 	if status.Self != nil {
-		nodes = append(nodes, status.Self)
+		self := proto.CloneOf(status.Self)
+		self.BundleVersion = max(self.BundleVersion, status.BundleVersion)
+		nodes = append(nodes, self)
 	}
 	for _, n := range status.Nodes {
 		if status.Self == nil || n.Id != status.Self.Id {
@@ -228,6 +232,14 @@
 		}
 	}
 	p := progressOf(status, version)
+	if version == 0 {
+		if c.asJSON() {
+			if err := c.printJSON(p); err != nil {
+				return err
+			}
+		}
+		return refused("no bundle is in force on any of %d nodes", p.Nodes)
+	}
 	if err := c.printProgress(p); err != nil {
 		return err
 	}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/url"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -12,6 +13,7 @@
 	"siskinvale.dev/siskinvale/internal/announce"
 	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
 	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/ingress"
 	"siskinvale.dev/siskinvale/internal/membership"
 )
 
@@ -74,7 +76,10 @@
 	var err error
 	c.do(func() {
 		if target != "" {
-			err = c.stepTargets(ev(fleet.TargetID(target)))
+			if err = c.stepTargets(ev(fleet.TargetID(target))); err != nil {
+				err = fmt.Errorf("target %q: %w", target, err)
+			}
+			c.publishStatus()
 			return
 		}
 		for _, t := range c.targets.Local() {
@@ -82,6 +87,8 @@
 				err = failed
 			}
 		}
+		// An operator who lists the targets next sees the change.
+		c.publishStatus()
 	})
 	if err != nil {
 		return connect.NewError(connect.CodeNotFound, err)
@@ -147,11 +154,35 @@
 	return &controlv1.SetLogLevelResponse{Previous: previous}, nil
 }
 
-// ReleaseOperations gives up key ranges whose owner and standby are lost.
+// ReleaseOperations gives up key ranges whose owner and standby are lost. Only
+// a node beside a target of the service takes part in its ranges; any other
+// one would ignore the release, so it refuses.
 func (s *operatorService) ReleaseOperations(_ context.Context, req *controlv1.ReleaseOperationsRequest) (*controlv1.ReleaseOperationsResponse, error) {
-	if req.GetService() == "" {
+	name := req.GetService()
+	if name == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("the service is missing"))
 	}
-	s.node.operations.ReleaseUnowned(req.GetService())
+	view := s.node.ingress.View()
+	if view.Bundle == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, fmt.Errorf("no bundle is in force on this node"))
+	}
+	service := view.Bundle.Service(name)
+	if service == nil {
+		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("the bundle in force has no service %q", name))
+	}
+	if !slices.ContainsFunc(service.Classes, ingress.Keyed) {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, fmt.Errorf("service %q has no class with keyed operations", name))
+	}
+	if !s.besideTarget(name) {
+		return nil, connect.NewError(connect.CodeFailedPrecondition,
+			fmt.Errorf("this node has no target of service %q; call a node that has one", name))
+	}
+	s.node.operations.ReleaseUnowned(name)
 	return &controlv1.ReleaseOperationsResponse{}, nil
 }
+
+func (s *operatorService) besideTarget(service string) bool {
+	return slices.ContainsFunc(s.node.control.status.Load().targets, func(t fleet.Target) bool {
+		return t.Service == service && t.Node == s.node.self.ID
+	})
+}
--- a/internal/processtest/ctl.go
+++ b/internal/processtest/ctl.go
@@ -37,6 +37,12 @@
 	return stdout.String(), nil
 }
 
+// Operate runs siskinvalectl with the options that address this fleet's
+// platform and its first running node.
+func (f *Fleet) Operate(args ...string) (string, error) {
+	return f.Ctl(append(f.ctlTarget(), args...)...)
+}
+
 // makeKeys makes the shared keys, and the signing keys with siskinvalectl.
 func (f *Fleet) makeKeys() error {
 	f.keys.fleet = sharedKey{ID: "fleet-1", Secret: secret()}
