Limit attempts of idempotent work and log membership, targets and platform

Change: idempotent work splits its time among its attempts; a probe gets five times the usual run time. A cancelled attempt that took ten times the usual run time counts against the target. Events of slices that nothing logged are logged by the node or removed. The node test waits until every node knows every target: a node that stops before it knows a successor releases its ranges, which was the cause of the unknown keys seen earlier.

--- a/internal/event/fleet.go
+++ b/internal/event/fleet.go
@@ -2,16 +2,6 @@
 
 import "github.com/sirupsen/logrus"
 
-// Events of the rollout on one node.
-var (
-	BundleActivated     = declare(2200, "bundle-activated", logrus.InfoLevel, "a bundle version is in force")
-	BundleRejected      = declare(2201, "bundle-rejected", logrus.WarnLevel, "a bundle or piece was rejected")
-	BundleConflict      = alarm(2202, "bundle-conflict", "two valid bundles have the same version; the one in the platform is used")
-	RolloutReady        = declare(2203, "rollout-ready", logrus.InfoLevel, "the newest known bundle version is in force; the node may serve callers")
-	BundleFetchFailed   = declare(2204, "bundle-fetch-failed", logrus.WarnLevel, "a bundle or piece could not be fetched; another source is tried")
-	RolloutReaderChosen = declare(2205, "rollout-reader-changed", logrus.InfoLevel, "the node began or ceased to read bundles from the platform")
-)
-
 // Events of membership and targets.
 var (
 	NodeAlive           = declare(3001, "node-alive", logrus.InfoLevel, "a node joined or came back")
--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -11,11 +11,8 @@
 	DrainTimedOut      = alarm(1005, "drain-timed-out", "requests still in flight were cut off after the longest drain wait")
 	SettingsRead       = declare(1006, "settings-read", logrus.InfoLevel, "settings were read again")
 	SettingsRefused    = declare(1007, "settings-refused", logrus.ErrorLevel, "settings could not be read again; the old ones stay in force")
-	ListenerFailed     = declare(1008, "listener-failed", logrus.ErrorLevel, "a listener failed")
 	HandoverIncomplete = declare(1010, "handover-incomplete", logrus.WarnLevel, "key ranges were not handed over before the stop; their standbys take over later")
 	MessageRefused     = declare(1011, "message-refused", logrus.WarnLevel, "a message of a peer was refused")
-	NodeStateChanged   = declare(1013, "node-state-changed", logrus.InfoLevel, "another node changed its state")
-	DuplicateNodeID    = alarm(1012, "duplicate-node-id", "another node process uses this node's identifier")
 	AuthRefused        = declare(1009, "auth-refused", logrus.WarnLevel, "a peer or operator without valid credentials was refused")
 )
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -20,6 +20,10 @@
 	// ownerAttempts bounds how often a keyed operation looks for its owner
 	// within its deadline. These attempts were provably not dispatched.
 	ownerAttempts = 100
+	// probeFactor is how many times its usual run time work may take at a
+	// target on probation; minProbeLimit keeps pauses of a VM from counting.
+	probeFactor   = 5
+	minProbeLimit = 100 * time.Millisecond
 	// prefetchSize is the largest answer that is read to its end before the
 	// first byte is sent, so that a truncated one can be retried.
 	prefetchSize = 64 << 10
@@ -72,17 +76,44 @@
 	target := endpoint.Target()
 	*tried = append(*tried, target.ID)
 	call.Target = target.ID
+	// The limit ends with the first byte of the answer, so that it cannot cut a
+	// long answer.
+	ctx, cancel := context.WithCancel(ctx)
+	limit := time.AfterFunc(attemptLimit(req, choice, len(*tried), call.Timeout), cancel)
 	endpoint.Begin()
-	reply := prefetch(call, in.deliver(ctx, view, target.Node, req.class.Length, call))
+	reply := in.deliver(ctx, view, target.Node, req.class.Length, call)
+	limit.Stop()
+	reply = prefetch(call, reply)
 	in.paths.record(target.ID, reply)
 	if reply.Outcome != fleet.Answered {
+		cancel()
 		endpoint.End(reply.Load, !reply.PathFailed, in.cfg.Clock())
 		return reply
 	}
-	reply.Body = &closeHook{ReadCloser: reply.Body, hook: func() { endpoint.End(reply.Load, true, in.cfg.Clock()) }}
+	reply.Body = &closeHook{ReadCloser: reply.Body, hook: func() {
+		cancel()
+		endpoint.End(reply.Load, true, in.cfg.Clock())
+	}}
 	return reply
 }
 
+// attemptLimit is how long an attempt may wait for the first byte of its
+// answer. Idempotent work splits its time among the attempts it has left, so
+// that a stalled target does not use up the whole deadline. A target on
+// probation gets little more than the usual run time, because the caller did
+// not ask to test it.
+func attemptLimit(req *request, choice routing.Choice, number int, left time.Duration) time.Duration {
+	if !req.class.Idempotent || req.stream != nil {
+		return left
+	}
+	attempts := max(req.class.Attempts-number+1, 1)
+	limit := left / time.Duration(attempts)
+	if choice.Reason == routing.ReasonProbation && attempts > 1 {
+		limit = min(limit, max(minProbeLimit, probeFactor*req.class.Expected.Std()))
+	}
+	return limit
+}
+
 // keyedAttempts sends a keyed operation to the owner of its key. It looks for
 // the owner again while every attempt is proven undispatched.
 func (in *Ingress) keyedAttempts(ctx context.Context, req *request) *link.Reply {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,9 @@
 	controlTick = 50 * time.Millisecond
 	// healthTicks is how many control ticks pass between two health decisions.
 	healthTicks = 2
+	// reportTicks is how many control ticks pass between two reports of counted
+	// faults, about a minute, so that a flood of them does not flood the log.
+	reportTicks = 1200
 	// slowTicks is how many control ticks pass between two steps of machines
 	// that act in seconds.
 	slowTicks = 5
@@ -52,6 +56,7 @@
 	newView  bool
 	draining bool
 	ticks    uint64
+	reported struct{ overBudget, dropped uint64 }
 
 	ready    atomic.Bool
 	version  atomic.Uint64
@@ -169,6 +174,23 @@
 		c.shareEvidence()
 		c.publishStatus()
 	}
+	if c.ticks%reportTicks == 0 {
+		c.reportFaults()
+	}
+}
+
+// reportFaults logs faults of single packets that were counted since the last
+// report.
+func (c *control) reportFaults() {
+	if over := c.members.Stats().OverBudget; over > c.reported.overBudget {
+		c.node.log.Log(event.MembershipOverspent, event.Fields{"packets": over - c.reported.overBudget})
+		c.reported.overBudget = over
+	}
+	counts := c.transport.Counts()
+	if dropped := counts.Unauthenticated + counts.Malformed; dropped > c.reported.dropped {
+		c.node.log.Log(event.PacketsDropped, event.Fields{"packets": dropped - c.reported.dropped})
+		c.reported.dropped = dropped
+	}
 }
 
 // lag is how long ago the control goroutine last ran its timers.
@@ -218,8 +240,8 @@
 	if old.State == n.State && old.Incarnation == n.Incarnation {
 		return
 	}
-	if old.State != n.State {
-		c.node.log.Log(event.NodeStateChanged, event.Fields{"peer": n.ID, "state": n.State.String()})
+	if old.ID == "" || old.State != n.State {
+		c.node.log.Log(nodeEvents[n.State], event.Fields{"peer": n.ID})
 	}
 	switch n.State {
 	case fleet.NodeDead:
@@ -234,6 +256,12 @@
 	c.markServicesOf(n.ID)
 }
 
+// nodeEvents are the events that tell the new state of another node.
+var nodeEvents = map[fleet.NodeState]event.Event{
+	fleet.NodeAlive: event.NodeAlive, fleet.NodeSuspect: event.NodeSuspected,
+	fleet.NodeLeaving: event.NodeIsLeaving, fleet.NodeDead: event.NodeDead,
+}
+
 func (c *control) markServicesOf(id fleet.NodeID) {
 	for _, t := range c.known {
 		if t.Node == id {
@@ -253,15 +281,33 @@
 			c.stepMembers(membership.BroadcastTarget{Target: a.Target})
 		case announce.Rejected:
 			refused = a.Err
+			c.logRejected(a)
 		}
 	}
 	return refused
 }
 
+func (c *control) logRejected(a announce.Rejected) {
+	e := event.TargetRejected
+	if errors.Is(a.Err, announce.ErrDuplicate) {
+		e = event.DuplicateTargetID
+	}
+	c.node.log.Log(e, event.Fields{"target": a.ID, "error": a.Err.Error()})
+}
+
+// targetEvents are the events that tell the new state of a target.
+var targetEvents = map[fleet.TargetState]event.Event{
+	fleet.TargetServing: event.TargetAnnounced, fleet.TargetDraining: event.TargetDraining, fleet.TargetGone: event.TargetGone,
+}
+
 func (c *control) targetChanged(t fleet.Target) {
-	if old, ok := c.known[t.ID]; ok && old.Service != t.Service {
+	old, ok := c.known[t.ID]
+	if ok && old.Service != t.Service {
 		c.stale[old.Service] = true
 	}
+	if !ok || old.State != t.State {
+		c.node.log.Log(targetEvents[t.State], event.Fields{"target": t.ID, "service": t.Service, "peer": t.Node})
+	}
 	c.stale[t.Service] = true
 	if t.Node == c.node.self.ID {
 		c.node.sidecar.SetTarget(t)
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -206,11 +206,23 @@
 func (f *testFleet) waitReady() {
 	for _, n := range f.nodes {
 		Eventually(n.node.Ready, "15s", "20ms").Should(BeTrue(), n.id)
+		// Without this, a node could stop before it knows a successor.
+		Eventually(n.metrics, "15s", "50ms").Should(ContainSubstring(fmt.Sprintf("siskinvale_known_targets %d\n", len(f.nodes))), n.id)
 		Eventually(func() int { return n.status(http.MethodGet, "/kits/1") }, "15s", "50ms").Should(Equal(200), n.id)
 		Eventually(func() string { return n.hold(newKey()).outcome }, "15s", "50ms").Should(Equal("answered"), n.id)
 	}
 }
 
+func (n *testNode) metrics() string {
+	resp, err := http.Get("http://" + n.base + ":7004/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return string(body)
+}
+
 type answer struct {
 	status  int
 	outcome string
@@ -240,8 +252,9 @@
 
 func (n *testNode) status(method, path string) int { return n.send(method, path, nil, "").status }
 
+// hold sends a named operation, for the first time or again.
 func (n *testNode) hold(key string) answer {
-	return n.send(http.MethodPost, "/holds", http.Header{"Idempotency-Key": {key}, "Siskinvale-Attempt": {"1"}}, "kit 7")
+	return n.send(http.MethodPost, "/holds", http.Header{"Idempotency-Key": {key}}, "kit 7")
 }
 
 type lookup struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,7 @@
 	}
 	n.platform = &observedPlatform{
 		Client: platform.NewHTTP(s.Platform.Address, string(s.Platform.Token), platform.DefaultBudget()),
+		log:    n.log,
 	}
 	n.remote = &link.Remote{Self: n.self.ID, Pool: n.pool, Keys: n.peerKeys}
 	n.peers = &peerCalls{node: n}
@@ -180,6 +181,8 @@
 	n.metrics.Gauge("siskinvale_sidecar_in_flight", func() float64 { return float64(n.sidecar.InFlight()) })
 	n.metrics.Gauge("siskinvale_bundle_version", func() float64 { return float64(n.control.version.Load()) })
 	n.metrics.Gauge("siskinvale_answers_mismatched", func() float64 { return float64(n.remote.Mismatched.Load()) })
+	n.metrics.Gauge("siskinvale_known_targets", func() float64 { return float64(len(n.control.status.Load().targets)) })
+	n.metrics.Gauge("siskinvale_known_nodes", func() float64 { return float64(len(n.control.status.Load().nodes)) })
 	n.metrics.Gauge("siskinvale_control_lag_seconds", func() float64 { return n.control.lag().Seconds() })
 }
 
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync/atomic"
 
+	"siskinvale.dev/siskinvale/internal/event"
 	"siskinvale.dev/siskinvale/internal/platform"
 )
 
@@ -12,15 +13,43 @@
 // node's status.
 type observedPlatform struct {
 	platform.Client
+	log       *event.Logger
 	reachable atomic.Bool
+	// faulty is the number of the event that was logged last, 0 when the
+	// platform is well.
+	faulty atomic.Int64
 }
 
+// observe logs a fault when it begins and its end, not each failed call.
 func (p *observedPlatform) observe(err error) {
-	if errors.Is(err, platform.ErrBudget) || errors.Is(err, context.Canceled) {
+	var limited *platform.RateLimitedError
+	switch {
+	case errors.Is(err, context.Canceled):
 		return
+	case errors.Is(err, platform.ErrBudget):
+		p.fault(event.PlatformOverBudget, err)
+	case errors.As(err, &limited):
+		p.fault(event.PlatformLimited, err)
+	case errors.Is(err, platform.ErrRefused):
+		p.fault(event.PlatformRefused, err)
+	case errors.Is(err, platform.ErrUncertain):
+		p.reachable.Store(false)
+		p.fault(event.PlatformUncertain, err)
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, context.DeadlineExceeded):
+		p.reachable.Store(false)
+		p.fault(event.PlatformUnavailable, err)
+	default:
+		p.reachable.Store(true)
+		if p.faulty.Swap(0) != 0 {
+			p.log.Log(event.PlatformBack, nil)
+		}
+	}
+}
+
+func (p *observedPlatform) fault(e event.Event, err error) {
+	if p.faulty.Swap(int64(e.Number)) != int64(e.Number) {
+		p.log.Log(e, event.Fields{"error": err.Error()})
 	}
-	failed := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUncertain) || errors.Is(err, context.DeadlineExceeded)
-	p.reachable.Store(!failed)
 }
 
 func (p *observedPlatform) Get(ctx context.Context, key string) (platform.Object, error) {
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -116,6 +116,7 @@
 		defer cancel()
 		resp, err := c.node.peers.clientAt(fleet.Node{PeerAddr: addr}).Sync(ctx, req)
 		if err != nil {
+			c.node.log.Log(event.SyncFailed, event.Fields{"peer": addr, "error": err.Error()})
 			return // membership asks again
 		}
 		c.post(func() { c.merge(resp.GetNodes(), resp.GetTargets()) })
--- a/internal/sidecar/evidence.go
+++ b/internal/sidecar/evidence.go
@@ -21,6 +21,11 @@
 	cancelled
 )
 
+// lateFactor is how many times its usual run time work may take before its
+// cancellation counts against the target: an ingress gives up on a stalled
+// target and goes elsewhere.
+const lateFactor = 10
+
 // typicalWeight is the weight of one new run time in the moving average.
 const typicalWeight = 0.1
 
@@ -88,6 +93,9 @@
 	w.stopWaiting(now)
 	c := e.classes[w.class]
 	delete(c.running, w)
+	if outcome == cancelled && c.typical > 0 && w.waited > lateFactor*c.typical {
+		outcome = failed
+	}
 	switch outcome {
 	case completed:
 		c.completed++
