Hold the floor against every combination and order targets by lost work

Cause: at the floor, equally sick targets took each other's place all the time, because sums of evidence were compared, and a recovered target that the floor had held could be ejected long after. Change: targets are ordered by the part of the work that they lose, with a margin for changing places; a value above the threshold falls with each tick without errors.

--- a/internal/health/api.go
+++ b/internal/health/api.go
@@ -48,8 +48,8 @@
 	// Held is set on a Healthy target that would be ejected or avoided if the
 	// floor allowed it. Routing prefers targets that are not held.
 	Held bool
-	// Severity orders unhealthy targets: 1 is just enough to be ejected, 0 is
-	// no suspicion.
+	// Severity orders unhealthy targets by the part of the work that they lose:
+	// 0 for none, 1 for all.
 	Severity float64
 	// Reason explains every state but plain health. Logs carry the same text.
 	Reason string
--- a/internal/health/detector.go
+++ b/internal/health/detector.go
@@ -30,7 +30,7 @@
 	partThreshold = 20.0
 	// slowThreshold condemns slowness: sum of the logarithms of the excess run
 	// time, one a completion.
-	slowThreshold = 12.0
+	slowThreshold = 8.0
 	// slowFactor is how many times the peers' usual run time is normal; VMs of
 	// one service differ by up to 2 times.
 	slowFactor = 3.0
@@ -133,6 +133,10 @@
 	maxErrorRate = 0.5
 	// maxRateStep bounds what one tick adds: a single burst does not condemn.
 	maxRateStep = 2.0
+	// recoveryStep is what one tick without errors takes from a value above the
+	// threshold. A target that the floor kept in traffic could otherwise be
+	// ejected long after it recovered.
+	recoveryStep = 1.0
 )
 
 // Weigh implements Detector.
@@ -145,6 +149,9 @@
 	sick := min(max(normal+0.04, 3*normal), 0.95)
 	step := e.Failed*math.Log(sick/normal) + e.Completed*math.Log((1-sick)/(1-normal))
 	step = max(-maxRateStep, min(step, maxRateStep*max(1, e.Elapsed)))
+	if score > 1 && e.fast.failures < normal*e.fast.answers {
+		step = min(step, -recoveryStep*e.Elapsed)
+	}
 	return score + step/rateThreshold, fmt.Sprintf("errors %.0f%% against %.1f%% at %d peers",
 		100*e.slow.failures/max(e.slow.answers, 1), 100*peers.ErrorRate, peers.Count)
 }
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -50,8 +50,10 @@
 
 	fast, slow rate
 	sampled    time.Time
-	scores     []float64
-	reasons    []string
+	// excess is how many times longer than at its peers work takes here.
+	excess  float64
+	scores  []float64
+	reasons []string
 }
 
 // rate holds exponentially decayed counts of answers.
@@ -91,6 +93,16 @@
 	}
 }
 
+// lost estimates the part of the work that is lost: failed answers, or time
+// spent beyond what the peers need.
+func (e *Evidence) lost() float64 {
+	lost := e.slow.failures / max(e.slow.answers, 1)
+	if e.excess > 1 {
+		lost = max(lost, 1-1/e.excess)
+	}
+	return min(lost, 1)
+}
+
 // known reports whether the figures describe the present.
 func (e *Evidence) known(now time.Time) bool {
 	return !e.sampled.IsZero() && now.Sub(e.sampled) < evidenceMaxAge
--- a/internal/health/monitor.go
+++ b/internal/health/monitor.go
@@ -40,9 +40,12 @@
 	// maxSeverity bounds the sum of evidence, so that a recovered target can
 	// clear itself.
 	maxSeverity = 3.0
-	// swapFactor is how much worse than an ejected target a serving one must be
-	// to take its place at the floor.
-	swapFactor = 1.5
+	// swapMargin is how much more of its work than an ejected target a serving
+	// one must lose to take its place at the floor. Without a margin, equally
+	// sick targets would change places all the time.
+	swapMargin = 0.25
+	// avoidedBadness puts targets that cannot be reached behind all others.
+	avoidedBadness = 10
 	// warmUp is how long slowness is expected after a start.
 	warmUp = 10 * time.Second
 	// suspicion multiplies evidence while the target's own health endpoint
@@ -81,11 +84,12 @@
 	classes map[string]*Evidence
 	sources map[fleet.NodeID]*sourceEvidence
 	answers answerRate
-	// severity and reason are those of the latest Tick.
-	severity float64
-	reason   string
-	path     bool // the reason is the path from this node
-	strikes  int
+	// severity (1 condemns), reason and lost (the part of the work) are those of
+	// the latest Tick.
+	severity, lost float64
+	reason         string
+	path           bool // the reason is the path from this node
+	strikes        int
 	// since is when the present state began, until when the back-off ends.
 	since, until time.Time
 	step         int     // of probationShares
@@ -275,6 +279,9 @@
 }
 
 func (t *target) weigh(now time.Time, class string, e *Evidence, peers Peers, detectors []Detector) {
+	if peers.Pace > 0 {
+		e.excess = max(float64(min(e.Oldest, peers.Progress))/float64(peers.Pace)/stallFactor, float64(e.Typical)/float64(peers.Typical))
+	}
 	for i, d := range detectors {
 		old := e.scores[i]
 		next, reason := d.Weigh(e, peers, old)
@@ -290,23 +297,23 @@
 
 // judge computes the severity of one target from its classes and its paths.
 func (m *Monitor) judge(now time.Time, t *target) {
-	t.severity, t.reason, t.path = 0, "", false
+	t.severity, t.lost, t.reason, t.path = 0, 0, "", false
 	for _, class := range sortedKeys(t.classes) {
 		e := t.classes[class]
 		for i, score := range e.scores {
 			if score > t.severity {
-				t.severity, t.reason = score, e.reasons[i]
+				t.severity, t.lost, t.reason = score, e.lost(), e.reasons[i]
 			}
 		}
 	}
 	failing, _, answered := t.failingSources(now, m.distrusted)
 	if failing >= 2 && answered == 0 {
-		t.severity = max(t.severity, maxSeverity)
+		t.severity, t.lost = maxSeverity, 1
 		t.reason = fmt.Sprintf("unreachable: path failures from %d nodes, no answer to any", failing)
 		return
 	}
 	if own := t.sources[m.cfg.Self]; own != nil && own.failing(now) && t.severity < 1 {
-		t.severity, t.path = min(1+own.failures/20, maxSeverity), true
+		t.severity, t.lost, t.path = 1, 1, true
 		t.reason = fmt.Sprintf("path: %.0f failures from this node, answers to %d other sources", own.failures, answered)
 	}
 }
--- a/internal/health/verdict.go
+++ b/internal/health/verdict.go
@@ -62,7 +62,7 @@
 		e.fast, e.slow, e.Total = rate{}, rate{}, 0
 	}
 	clear(t.sources)
-	t.severity = 0
+	t.severity, t.lost = 0, 0
 }
 
 func (t *target) probation(now time.Time, reason string) Action {
@@ -78,16 +78,16 @@
 	t.until = now.Add(min(backoffBase<<min(t.strikes-1, 10), backoffCap))
 	t.since = now
 	if t.path {
-		t.verdict = Verdict{State: Avoided, Severity: t.severity, Reason: reason}
+		t.verdict = Verdict{State: Avoided, Severity: t.lost, Reason: reason}
 		return Avoid{t.record.ID, reason}
 	}
-	t.verdict = Verdict{State: Ejected, Severity: t.severity, Reason: reason}
+	t.verdict = Verdict{State: Ejected, Severity: t.lost, Reason: reason}
 	return Eject{t.record.ID, reason}
 }
 
 // hold lets an unhealthy target serve because of the floor.
 func (t *target) hold(floor int) {
-	t.verdict = Verdict{State: Healthy, Share: 1, Held: true, Severity: t.severity, Reason: fmt.Sprintf("floor %d: %s", floor, t.reason)}
+	t.verdict = Verdict{State: Healthy, Share: 1, Held: true, Severity: t.lost, Reason: fmt.Sprintf("floor %d: %s", floor, t.reason)}
 }
 
 // enforce ejects condemned targets, worst first, and keeps the floor: after it
@@ -113,7 +113,9 @@
 	}
 	floor := min(s.floorOf(len(serving)), len(serving))
 	// Worst first; least bad first for those that are out.
-	slices.SortStableFunc(condemned, func(a, b *target) int { return cmp.Compare(b.severity, a.severity) })
+	slices.SortStableFunc(condemned, func(a, b *target) int {
+		return cmp.Or(cmp.Compare(b.lost, a.lost), cmp.Compare(b.severity, a.severity))
+	})
 	slices.SortStableFunc(out, func(a, b *target) int { return cmp.Compare(a.badness(), b.badness()) })
 
 	var actions []Action
@@ -128,7 +130,9 @@
 		condemned = condemned[1:]
 		healthy--
 	}
-	if len(condemned) > 0 && len(out) > 0 && out[0].badness() <= maxSeverity && condemned[0].severity >= swapFactor*max(out[0].badness(), 1) {
+	// Targets on probation come back by themselves, or not at all.
+	out = slices.DeleteFunc(out, func(t *target) bool { return t.verdict.State == Probation })
+	if len(condemned) > 0 && len(out) > 0 && condemned[0].lost > out[0].badness()+swapMargin {
 		actions = append(actions, out[0].readmit(now, floor), condemned[0].out(now, condemned[0].reason))
 		condemned = condemned[1:]
 	}
@@ -148,13 +152,13 @@
 }
 
 // badness orders targets that are out of traffic: probation, then ejected by
-// severity, then avoided, because an unreachable target helps nobody here.
+// the lost work, then avoided, because an unreachable target helps nobody here.
 func (t *target) badness() float64 {
 	switch t.verdict.State {
 	case Probation:
-		return t.severity
+		return t.lost - 1
 	case Avoided:
-		return 2*maxSeverity + t.verdict.Severity
+		return avoidedBadness
 	default:
 		return t.verdict.Severity
 	}
