--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -216,7 +216,12 @@
 		Expect(w.states()[2]).To(Equal(health.Avoided))
 		Expect(w.out.String()).To(And(ContainSubstring("path-avoided"), Not(ContainSubstring("target-ejected"))))
 		w.run(5 * time.Second)
-		Expect(w.states()[2]).NotTo(Equal(health.Avoided))
+		Expect(w.states()[2]).To(Equal(health.Probation)) // answers to others do not clear the path
+		for range 30 {
+			w.path("self", 2, 1, 0)
+			w.tick()
+		}
+		Expect(w.states()[2]).To(Equal(health.Healthy))
 	})
 
 	It("ignores the path failures of one other node", func() {
--- a/internal/health/monitor.go
+++ b/internal/health/monitor.go
@@ -89,6 +89,7 @@
 	severity, lost float64
 	reason         string
 	path           bool // the reason is the path from this node
+	avoided        bool // the target was avoided and is not yet back in full traffic
 	strikes        int
 	// since is when the present state began, until when the back-off ends.
 	since, until time.Time
@@ -204,7 +205,7 @@
 		s.weigh(now, m.cfg.Detectors)
 		for _, t := range s.targets {
 			m.judge(now, t)
-			actions = append(actions, t.advance(now)...)
+			actions = append(actions, t.advance(now, t.sources[m.cfg.Self])...)
 		}
 		actions = append(actions, s.enforce(now)...)
 	}
--- a/internal/health/verdict.go
+++ b/internal/health/verdict.go
@@ -9,9 +9,10 @@
 	"siskinvale.dev/siskinvale/internal/fleet"
 )
 
-// advance moves a target that is out of traffic towards its return. The floor
+// advance moves a target that is out of traffic towards its return; own is what
+// this node's attempts at it saw. The floor
 // is not concerned: targets on probation do not count for it.
-func (t *target) advance(now time.Time) []Action {
+func (t *target) advance(now time.Time, own *sourceEvidence) []Action {
 	switch t.verdict.State {
 	case Healthy:
 		if t.verdict.Held && t.severity < clearSeverity {
@@ -32,13 +33,17 @@
 			return []Action{t.out(now, t.reason+"; on probation")}
 		}
 		took := now.Sub(t.since)
-		if took < probationTime || t.work < probationWork && took < probationPatience {
+		enough := t.work >= probationWork
+		if t.avoided { // only answers to this node speak for the path
+			enough = own != nil && own.answered(now, t.since)
+		}
+		if took < probationTime || !enough && took < probationPatience {
 			return nil
 		}
 		if t.step++; t.step < len(probationShares) {
 			return []Action{t.probation(now, fmt.Sprintf("share %.0f%% after %.0f answers in %s", probationShares[t.step]*100, t.work, took.Round(tickTime)))}
 		}
-		t.verdict, t.since = Verdict{State: Healthy, Share: 1}, now
+		t.verdict, t.since, t.avoided = Verdict{State: Healthy, Share: 1}, now, false
 		return []Action{Readmit{t.record.ID, 1, fmt.Sprintf("probation passed with %.0f answers in %s", t.work, took.Round(tickTime))}}
 	}
 	return nil
@@ -76,7 +81,7 @@
 func (t *target) out(now time.Time, reason string) Action {
 	t.strikes++
 	t.until = now.Add(min(backoffBase<<min(t.strikes-1, 10), backoffCap))
-	t.since = now
+	t.since, t.avoided = now, t.path
 	if t.path {
 		t.verdict = Verdict{State: Avoided, Severity: t.lost, Reason: reason}
 		return Avoid{t.record.ID, reason}
