Charge tenants only for work that starts

Cause: items that expired in the queue advanced their tenant's virtual time, so a tenant with a long queue got a third of its share (2.3% of its requests answered where 6.7% is fair), and virtual times of idle tenants were kept for ever. Change: the charge happens at the start; a lane without waiting work forgets.

--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -64,7 +64,7 @@
 // remember keeps the virtual time of a tenant that leaves the lane, so that it
 // gains nothing by sending its requests one at a time.
 func (l *lane) remember(t *tenant) {
-	if l.finished == nil || len(l.tenants) == 0 {
+	if l.finished == nil {
 		l.finished = map[string]float64{}
 	}
 	for name, v := range l.finished {
@@ -92,12 +92,33 @@
 	if q.cfg.NewestFirst && overloaded(now, e, q.cfg.WaitShare) {
 		e = next.items[len(next.items)-1]
 	}
-	l.virtual = max(l.virtual, next.virtual)
-	next.virtual += e.expected.Seconds() / q.share(l, e.Item)
 	l.remove(e)
 	return e
 }
 
+// charge advances the tenant's virtual time for an item that starts. Items that
+// expired in the queue are not charged: a tenant that lost its turn to them
+// would get less than its share.
+func (l *lane) charge(e *entry, share float64) {
+	if l.count == 0 { // nobody waits: forget the past, which also bounds the memory
+		l.virtual = 0
+		clear(l.finished)
+		return
+	}
+	cost := e.expected.Seconds() / share
+	if t := l.tenants[e.Tenant]; t != nil {
+		l.virtual = max(l.virtual, t.virtual)
+		t.virtual += cost
+		return
+	}
+	start := max(l.virtual, l.finished[e.Tenant])
+	l.virtual = start
+	if l.finished == nil {
+		l.finished = map[string]float64{}
+	}
+	l.finished[e.Tenant] = start + cost
+}
+
 func overloaded(now time.Time, e *entry, waitShare float64) bool {
 	total := e.Deadline.Sub(e.arrived)
 	return !e.Deadline.IsZero() && float64(now.Sub(e.arrived)) > waitShare/2*float64(total)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -325,6 +325,10 @@
 			q.long++
 		}
 		q.countStart(e)
+		if q.cfg.Discipline == Full {
+			l := q.lane(e.Item)
+			l.charge(e, q.share(l, e.Item))
+		}
 		actions = append(actions, Start{e.ID})
 	}
 	return actions
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -344,3 +344,23 @@
 		Eventually(g.Idle()).Should(BeClosed())
 	})
 })
+
+// Guards against a loss of idle slots and of memory: without waiting work, the
+// order of tenants is forgotten.
+var _ = Describe("Fair queueing", func() {
+	It("does not punish a tenant for work that it did while nobody waited", func() {
+		q, id := admission.New(admission.Config{Slots: 1}), uint64(0)
+		arrive := func(tenant string) []uint64 {
+			id++
+			return started(q.Step(epoch, admission.Arrive{Item: item(id, tenant, fleet.Interactive, fleet.Short)}))
+		}
+		for range 100 {
+			Expect(arrive("early")).To(HaveLen(1))
+			q.Step(epoch, admission.Finish{ID: id, Took: 10 * ms})
+		}
+		arrive("other")
+		arrive("early")
+		arrive("late")
+		Expect(started(q.Step(epoch, admission.Finish{ID: 101, Took: 10 * ms}))).To(Equal([]uint64{102}))
+	})
+})
