--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -22,8 +22,10 @@
 )
 
 func TestAdmission(t *testing.T) {
-	if err := flag.Set("rapid.seed", "1"); err != nil { // the same schedules on every run
-		t.Fatal(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "500"} { // the same schedules on every run
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
 	}
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "admission")
