--- a/internal/health/verdict.go
+++ b/internal/health/verdict.go
@@ -9,9 +9,10 @@
 	"siskinvale.dev/siskinvale/internal/fleet"
 )
 
-// advance moves a target that is out of traffic towards its return. The floor
+// advance moves a target that is out of traffic towards its return; own is what
+// this node's attempts at it saw. The floor
 // is not concerned: targets on probation do not count for it.
-func (t *target) advance(now time.Time) []Action {
+func (t *target) advance(now time.Time, own *sourceEvidence) []Action {
 	switch t.verdict.State {
 	case Healthy:
 		if t.verdict.Held && t.severity < clearSeverity {
@@ -32,13 +33,17 @@
 			return []Action{t.out(now, t.reason+"; on probation")}
 		}
 		took := now.Sub(t.since)
-		if took < probationTime || t.work < probationWork && took < probationPatience {
+		enough := t.work >= probationWork
+		if t.avoided { // only answers to this node speak for the path
+			enough = own != nil && own.answered(now, t.since)
+		}
+		if took < probationTime || !enough && took < probationPatience {
 			return nil
 		}
 		if t.step++; t.step < len(probationShares) {
 			return []Action{t.probation(now, fmt.Sprintf("share %.0f%% after %.0f answers in %s", probationShares[t.step]*100, t.work, took.Round(tickTime)))}
 		}
-		t.verdict, t.since = Verdict{State: Healthy, Share: 1}, now
+		t.verdict, t.since, t.avoided = Verdict{State: Healthy, Share: 1}, now, false
 		return []Action{Readmit{t.record.ID, 1, fmt.Sprintf("probation passed with %.0f answers in %s", t.work, took.Round(tickTime))}}
 	}
 	return nil
@@ -62,7 +67,7 @@
 		e.fast, e.slow, e.Total = rate{}, rate{}, 0
 	}
 	clear(t.sources)
-	t.severity = 0
+	t.severity, t.lost = 0, 0
 }
 
 func (t *target) probation(now time.Time, reason string) Action {
@@ -76,18 +81,18 @@
 func (t *target) out(now time.Time, reason string) Action {
 	t.strikes++
 	t.until = now.Add(min(backoffBase<<min(t.strikes-1, 10), backoffCap))
-	t.since = now
+	t.since, t.avoided = now, t.path
 	if t.path {
-		t.verdict = Verdict{State: Avoided, Severity: t.severity, Reason: reason}
+		t.verdict = Verdict{State: Avoided, Severity: t.lost, Reason: reason}
 		return Avoid{t.record.ID, reason}
 	}
-	t.verdict = Verdict{State: Ejected, Severity: t.severity, Reason: reason}
+	t.verdict = Verdict{State: Ejected, Severity: t.lost, Reason: reason}
 	return Eject{t.record.ID, reason}
 }
 
 // hold lets an unhealthy target serve because of the floor.
 func (t *target) hold(floor int) {
-	t.verdict = Verdict{State: Healthy, Share: 1, Held: true, Severity: t.severity, Reason: fmt.Sprintf("floor %d: %s", floor, t.reason)}
+	t.verdict = Verdict{State: Healthy, Share: 1, Held: true, Severity: t.lost, Reason: fmt.Sprintf("floor %d: %s", floor, t.reason)}
 }
 
 // enforce ejects condemned targets, worst first, and keeps the floor: after it
@@ -113,7 +118,9 @@
 	}
 	floor := min(s.floorOf(len(serving)), len(serving))
 	// Worst first; least bad first for those that are out.
-	slices.SortStableFunc(condemned, func(a, b *target) int { return cmp.Compare(b.severity, a.severity) })
+	slices.SortStableFunc(condemned, func(a, b *target) int {
+		return cmp.Or(cmp.Compare(b.lost, a.lost), cmp.Compare(b.severity, a.severity))
+	})
 	slices.SortStableFunc(out, func(a, b *target) int { return cmp.Compare(a.badness(), b.badness()) })
 
 	var actions []Action
@@ -128,7 +135,9 @@
 		condemned = condemned[1:]
 		healthy--
 	}
-	if len(condemned) > 0 && len(out) > 0 && out[0].badness() <= maxSeverity && condemned[0].severity >= swapFactor*max(out[0].badness(), 1) {
+	// Targets on probation come back by themselves, or not at all.
+	out = slices.DeleteFunc(out, func(t *target) bool { return t.verdict.State == Probation })
+	if len(condemned) > 0 && len(out) > 0 && condemned[0].lost > out[0].badness()+swapMargin {
 		actions = append(actions, out[0].readmit(now, floor), condemned[0].out(now, condemned[0].reason))
 		condemned = condemned[1:]
 	}
@@ -148,13 +157,13 @@
 }
 
 // badness orders targets that are out of traffic: probation, then ejected by
-// severity, then avoided, because an unreachable target helps nobody here.
+// the lost work, then avoided, because an unreachable target helps nobody here.
 func (t *target) badness() float64 {
 	switch t.verdict.State {
 	case Probation:
-		return t.severity
+		return t.lost - 1
 	case Avoided:
-		return 2*maxSeverity + t.verdict.Severity
+		return avoidedBadness
 	default:
 		return t.verdict.Severity
 	}
