--- a/internal/event/fleet.go
+++ b/internal/event/fleet.go
@@ -2,14 +2,10 @@
 
 import "github.com/sirupsen/logrus"
 
-// Events of the rollout on one node.
+// Events of the rollout on one node; those of bundles are in bundle.go.
 var (
-	BundleActivated     = declare(2200, "bundle-activated", logrus.InfoLevel, "a bundle version is in force")
-	BundleRejected      = declare(2201, "bundle-rejected", logrus.WarnLevel, "a bundle or piece was rejected")
-	BundleConflict      = alarm(2202, "bundle-conflict", "two valid bundles have the same version; the one in the platform is used")
-	RolloutReady        = declare(2203, "rollout-ready", logrus.InfoLevel, "the newest known bundle version is in force; the node may serve callers")
-	BundleFetchFailed   = declare(2204, "bundle-fetch-failed", logrus.WarnLevel, "a bundle or piece could not be fetched; another source is tried")
-	RolloutReaderChosen = declare(2205, "rollout-reader-changed", logrus.InfoLevel, "the node began or ceased to read bundles from the platform")
+	RolloutReady         = declare(2200, "rollout-ready", logrus.InfoLevel, "the newest known bundle version is in force; the node may serve callers")
+	RolloutReaderChanged = declare(2201, "rollout-reader-changed", logrus.InfoLevel, "the node began or ceased to read bundles from the platform")
 )
 
 // Events of membership and targets.
@@ -18,10 +14,9 @@
 	NodeSuspected       = declare(3002, "node-suspected", logrus.WarnLevel, "a node does not answer; it may still refute")
 	NodeDead            = declare(3003, "node-dead", logrus.WarnLevel, "a node is out of use")
 	NodeIsLeaving       = declare(3004, "peer-leaving", logrus.InfoLevel, "another node is leaving")
-	DuplicateNodeID     = alarm(3005, "duplicate-node-id", "another process uses this node's identifier")
-	SyncFailed          = declare(3006, "sync-failed", logrus.WarnLevel, "a full-state exchange with a peer failed")
-	MembershipOverspent = declare(3007, "membership-over-budget", logrus.WarnLevel, "membership left out packets because its byte budget is used up")
-	PacketsDropped      = declare(3008, "packets-dropped", logrus.WarnLevel, "unauthenticated or malformed packets were dropped")
+	SyncFailed          = declare(3005, "sync-failed", logrus.WarnLevel, "a full-state exchange with a peer failed")
+	MembershipOverspent = declare(3006, "membership-over-budget", logrus.WarnLevel, "membership left out packets because its byte budget is used up")
+	PacketsDropped      = declare(3007, "packets-dropped", logrus.WarnLevel, "unauthenticated or malformed packets were dropped")
 	TargetAnnounced     = declare(3101, "target-announced", logrus.InfoLevel, "a target was announced")
 	TargetDraining      = declare(3102, "target-draining", logrus.InfoLevel, "a target is draining")
 	TargetGone          = declare(3103, "target-gone", logrus.InfoLevel, "a target was removed, expired or lost its node")
