Remove a data race from the platform test and test isolation

Cause: the test server recorded requests of several connections without synchronization; the race detector failed 9 of 24 parallel loops of 12 runs. A node without any inbound packets had no test. Change: an atomic pointer holds the last request; a spec covers the verdicts of an isolated node.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -76,6 +76,26 @@
 		expectNoDeath(n, 30*time.Second)
 	})
 
+	It("puts its verdicts off while it hears nothing at all", func() {
+		n := fleetOf(18, 20, 4, cfg)
+		deaf := n.order[3]
+		n.cut = func(from, to string) bool { return to == deaf.self.PeerAddr }
+		var first time.Duration
+		began := n.now
+		n.changed = func(at *member, changed fleet.Node) {
+			if changed.State == fleet.NodeDead && changed.ID != deaf.self.ID {
+				Expect(at).To(Equal(deaf), "the others must not adopt its verdicts")
+				if first == 0 {
+					first = n.now.Sub(began)
+				}
+			}
+		}
+		n.run(20 * time.Second)
+		Expect(first).To(BeNumerically(">", 9*time.Second))
+		n.cut = func(string, string) bool { return false }
+		Expect(n.runUntil(15*time.Second, n.converged)).To(BeTrue(), "%v", n.disagreements())
+	})
+
 	It("keeps all nodes although a tenth of the packets is lost", func() {
 		n := fleetOf(9, 40, 4, cfg)
 		n.loss = 0.1
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,9 +28,9 @@
 }
 
 // serve answers the HTTP contract from a Memory. It records the last request.
-func serve(m *platform.Memory, last *http.Request) *httptest.Server {
+func serve(m *platform.Memory, last *atomic.Pointer[http.Request]) *httptest.Server {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		*last = *r
+		last.Store(r)
 		key, single := strings.CutPrefix(r.URL.Path, "/v1/objects/")
 		version, _ := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
 		var o platform.Object
@@ -198,24 +199,24 @@
 	wide := platform.Rate{PerSecond: 1e6, Burst: 1e6}
 	budget := platform.Budget{Reads: wide, Writes: wide, Watches: wide}
 	contract(func(m *platform.Memory) platform.Client {
-		return platform.NewHTTP(serve(m, new(http.Request)).Listener.Addr().String(), "secret", budget)
+		return platform.NewHTTP(serve(m, new(atomic.Pointer[http.Request])).Listener.Addr().String(), "secret", budget)
 	})
 
 	It("sends the token and the wait of a watch", func() {
-		var last http.Request
+		var last atomic.Pointer[http.Request]
 		m := platform.NewMemory()
 		m.SetWatchWait(time.Millisecond)
 		c := platform.NewHTTP(serve(m, &last).URL, "secret", budget)
 		_, _, err := c.Watch(context.Background(), "p/", 3)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(last.Header.Get("Authorization")).To(Equal("Bearer secret"))
-		Expect(last.URL.RawQuery).To(Equal("prefix=p%2F&since=3&wait=30s"))
+		Expect(last.Load().Header.Get("Authorization")).To(Equal("Bearer secret"))
+		Expect(last.Load().URL.RawQuery).To(Equal("prefix=p%2F&since=3&wait=30s"))
 	})
 
 	It("sends no call before Retry-After has passed", func() {
 		m := platform.NewMemory()
 		m.SetRateLimit(1e-6, 1)
-		c := platform.NewHTTP(serve(m, new(http.Request)).URL, "secret", budget)
+		c := platform.NewHTTP(serve(m, new(atomic.Pointer[http.Request])).URL, "secret", budget)
 		_, err := c.Get(context.Background(), "k")
 		Expect(err).To(MatchError(platform.ErrNotFound))
 		for range 5 {
@@ -228,7 +229,7 @@
 	})
 
 	It("reports a write to a closed port as not done", func() {
-		server := serve(platform.NewMemory(), new(http.Request))
+		server := serve(platform.NewMemory(), new(atomic.Pointer[http.Request]))
 		server.Close()
 		_, err := platform.NewHTTP(server.URL, "", budget).Put(context.Background(), "k", nil, 0)
 		Expect(err).To(MatchError(platform.ErrUnavailable))
@@ -237,7 +238,7 @@
 
 	It("fails calls over its budget without sending them", func() {
 		m := platform.NewMemory()
-		c := platform.NewHTTP(serve(m, new(http.Request)).URL, "", platform.Budget{Reads: platform.Rate{PerSecond: 1e-6, Burst: 2}})
+		c := platform.NewHTTP(serve(m, new(atomic.Pointer[http.Request])).URL, "", platform.Budget{Reads: platform.Rate{PerSecond: 1e-6, Burst: 2}})
 		for range 2 {
 			_, err := c.Get(context.Background(), "k")
 			Expect(err).To(MatchError(platform.ErrNotFound))
