--- a/internal/operation/manager_test.go
+++ b/internal/operation/manager_test.go
@@ -92,16 +92,20 @@
 	return managers, platform, func() { stop(); group.Wait() }
 }
 
-// keyOf returns a fresh key whose range is owned by the node.
-func keyOf(m *Manager, owner fleet.NodeID) Key {
-	for n := uint64(0); ; n++ {
+// keysOf returns fresh keys whose ranges are owned by the node.
+func keysOf(m *Manager, owner fleet.NodeID, count int) []Key {
+	var keys []Key
+	for n := uint64(0); len(keys) < count; n++ {
 		k := keyAt(time.Now(), n)
 		if o, _, ok := m.Locate(k); ok && o == owner {
-			return k
+			keys = append(keys, k)
 		}
 	}
+	return keys
 }
 
+func keyOf(m *Manager, owner fleet.NodeID) Key { return keysOf(m, owner, 1)[0] }
+
 // inBubble runs f in virtual time. Expectations inside use the bubble's own
 // gomega, because a spec's fail handler must not be called from it.
 func inBubble(f func(t *testing.T, g Gomega)) {
@@ -172,22 +176,28 @@
 			defer cancel()
 			time.Sleep(20 * time.Second)
 			a, b := managers["a"], managers["b"]
-			r := request(keyOf(a, "a"))
-			_, v := a.Do(context.Background(), r, func(context.Context, func() bool) (Answer, Ran) {
-				return Answer{Status: 200, Body: make([]byte, 40<<10)}, Answered
-			})
-			g.Expect(v.Kind).To(Equal(Run))
+			var requests []Request
+			for _, k := range keysOf(a, "a", 100) { // several messages of 1 MiB
+				r := request(k)
+				requests = append(requests, r)
+				_, v := a.Do(context.Background(), r, func(context.Context, func() bool) (Answer, Ran) {
+					return Answer{Status: 200, Body: append(make([]byte, 40<<10), k.Value...)}, Answered
+				})
+				g.Expect(v.Kind).To(Equal(Run))
+			}
 			ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
 			defer stop()
 			began := time.Now()
 			g.Expect(a.Drain(ctx)).To(Succeed())
 			g.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
 			time.Sleep(time.Second)
-			owner, _, _ := b.Locate(r.Key)
-			g.Expect(owner).To(BeEquivalentTo("b"))
-			answer, v := b.Do(context.Background(), r, nil)
-			g.Expect(v.Kind).To(Equal(Replay))
-			g.Expect(answer.Body).To(HaveLen(40 << 10))
+			for _, r := range requests {
+				owner, _, _ := b.Locate(r.Key)
+				g.Expect(owner).To(BeEquivalentTo("b"))
+				answer, v := b.Do(context.Background(), r, nil)
+				g.Expect(v.Kind).To(Equal(Replay))
+				g.Expect(string(answer.Body[40<<10:])).To(Equal(r.Key.Value))
+			}
 		})
 	})
 
