Split the manager and the owner machine by concern

Cause: two files held several concerns each. Change: do.go, owner_handover.go and owner_claim.go; no change of behaviour. Result: go test -race ./internal/operation ./internal/retry passes.

--- a/internal/operation/owner.go
+++ b/internal/operation/owner.go
@@ -27,18 +27,6 @@
 	epoch fleet.Epoch
 }
 
-// outgoing is a handover to one standby.
-type outgoing struct {
-	indexes  []int
-	deadline time.Duration // for running operations
-	sent     bool
-	sentAt   time.Duration
-	epoch    fleet.Epoch
-	retryAt  time.Duration
-	sending  bool
-	refused  bool // by the standby; the ranges are reclaimed at once
-}
-
 // Owner keeps the leases of the ranges that one process owns, replaces lost
 // standbys, and hands ranges over. It also creates the object of a new service
 // and claims released ranges.
@@ -221,34 +209,6 @@
 	return actions
 }
 
-// pruneOutgoing drops the ranges from handovers that the view has settled, and
-// opens those that stay here.
-func (o *Owner) pruneOutgoing() []Action {
-	var actions []Action
-	for _, to := range sortedNodes(o.outgoing) {
-		out := o.outgoing[to]
-		var valid, open []int
-		for _, i := range out.indexes {
-			r := o.view.Assignment.Ranges[i]
-			_, frozen := o.frozen[i]
-			switch {
-			case !o.mine(r):
-			case r.Standby != to || out.sent && !frozen:
-				open = append(open, i)
-			default:
-				valid = append(valid, i)
-			}
-		}
-		if out.indexes = valid; len(valid) == 0 {
-			delete(o.outgoing, to)
-		}
-		if len(open) > 0 {
-			actions = append(actions, OpenRanges{Indexes: open})
-		}
-	}
-	return actions
-}
-
 func sortedNodes[V any](m map[fleet.NodeID]V) []fleet.NodeID {
 	return slices.Sorted(maps.Keys(m))
 }
@@ -446,13 +406,6 @@
 	return slices.ContainsFunc(members, func(m Member) bool { return m.Node == node && m.Accepts })
 }
 
-// moving reports whether the range is part of a handover that its standby may
-// still complete.
-func (o *Owner) moving(index int, standby fleet.NodeID) bool {
-	out := o.outgoing[standby]
-	return out != nil && slices.Contains(out.indexes, index)
-}
-
 // alone reports whether the owner may do without a standby: the last one has
 // been silent for longer than it would take to take over, and no other member
 // answers. A standby that is alive behind a partition has taken over by then.
@@ -461,95 +414,6 @@
 	return g == nil || now.Mono-g.heard >= o.cfg.Promise+o.cfg.Margin+2*time.Second
 }
 
-// reclaim takes ranges back whose standby has not taken over after a handover.
-// The new epoch makes the handover void.
-func (o *Owner) reclaim(now Now, next *Assignment) bool {
-	changed := false
-	for to, out := range o.outgoing {
-		lost := o.silent(now, to) || !isMember(o.members, to)
-		due := out.refused || now.Mono-out.sentAt >= o.cfg.ReclaimAfter && (o.accepts() || lost)
-		if !out.sent || !due {
-			continue
-		}
-		for _, i := range out.indexes {
-			if _, frozen := o.frozen[i]; frozen {
-				next.Ranges[i].Epoch = next.Epoch
-				if lost {
-					next.Ranges[i].Standby = o.otherStandby(now, i, to)
-				}
-				changed = true
-			}
-		}
-		o.holdOff[to] = now.Mono + reclaimHoldOff
-	}
-	return changed
-}
-
-// reclaimHoldOff is how long a member that did not complete a handover is
-// offered none for the sake of even shares: its ranges were without an owner
-// for ReclaimAfter, and this keeps that below a tenth of the time.
-const reclaimHoldOff = time.Minute
-
-func (o *Owner) otherStandby(now Now, index int, lost fleet.NodeID) fleet.NodeID {
-	others := slices.DeleteFunc(o.candidates(now), func(m Member) bool { return m.Node == lost })
-	if s := chooseStandby(o.service, index, "", o.self, others); s != "" {
-		return s
-	}
-	return lost
-}
-
-// claim takes ranges that were released, and those that an earlier process of
-// this node owned and that have no standby left. The earlier process has
-// ended, because a node identifier is unique among the VMs that are alive; its
-// leases have ended as well. It also releases ranges for an operator.
-func (o *Owner) claim(now Now, next *Assignment) bool {
-	changed := false
-	if o.release {
-		o.release = false
-		changed = releaseUnowned(next, o.members, now.Wall) > 0
-	}
-	if !o.accepts() {
-		return changed
-	}
-	for _, i := range o.plan(now).claims {
-		r, n := o.view.Assignment.Ranges[i], &next.Ranges[i]
-		if r.Standby != "" && now.Mono < o.started+o.cfg.Promise+o.cfg.Margin {
-			continue
-		}
-		n.Owner, n.OwnerIncarnation, n.Epoch = o.self, o.incarnation, next.Epoch
-		n.Standby = chooseStandby(o.service, i, "", o.self, o.members)
-		// A claimed range of an earlier process of this node is fenced; a
-		// released one has been fenced by the release.
-		if r.Owner == o.self && now.Wall.After(n.FencedAt) {
-			n.FencedAt = now.Wall
-		}
-		changed = true
-	}
-	return changed
-}
-
-// leave releases the ranges of a stopping node that no other member can take.
-// They are frozen before the write, which fences them.
-func (o *Owner) leave(now Now, next *Assignment) bool {
-	if !o.leaving || len(acceptingMembers(o.members)) > 0 {
-		return false
-	}
-	changed := false
-	for i, r := range o.view.Assignment.Ranges {
-		if !o.mine(r) || r.Standby != "" {
-			continue
-		}
-		o.frozen[i] = o.view.Assignment.Epoch
-		n := Range{Epoch: next.Epoch, FencedAt: r.FencedAt}
-		if now.Wall.After(n.FencedAt) {
-			n.FencedAt = now.Wall
-		}
-		next.Ranges[i] = n
-		changed = true
-	}
-	return changed
-}
-
 // renewEpoch reports whether a standby can vouch only for a later epoch.
 func (o *Owner) renewEpoch(now Now) bool {
 	asked := false
@@ -562,118 +426,6 @@
 	})
 }
 
-// ReleaseUnowned frees the ranges whose owner and standby are both missing
-// from members, for siskinvalectl. The operator has made sure that the owners'
-// processes have ended; keys from before now stay unknown. It returns the
-// number of ranges and needs a WriteID before it is written.
-func ReleaseUnowned(a Assignment, members []Member, wall time.Time) (Assignment, int) {
-	next := a.next("")
-	n := releaseUnowned(&next, members, wall)
-	return next, n
-}
-
-func releaseUnowned(next *Assignment, members []Member, wall time.Time) int {
-	indexes := unowned(*next, members)
-	for _, i := range indexes {
-		r := Range{Epoch: next.Epoch, FencedAt: next.Ranges[i].FencedAt}
-		if wall.After(r.FencedAt) {
-			r.FencedAt = wall
-		}
-		next.Ranges[i] = r
-	}
-	return len(indexes)
-}
-
-func isMember(members []Member, node fleet.NodeID) bool {
-	return slices.ContainsFunc(members, func(m Member) bool { return m.Node == node })
-}
-
-func unowned(a Assignment, members []Member) []int {
-	var indexes []int
-	for i, r := range a.Ranges {
-		if r.Owner != "" && !isMember(members, r.Owner) && !isMember(members, r.Standby) {
-			indexes = append(indexes, i)
-		}
-	}
-	return indexes
-}
-
-func (o *Owner) reportUnowned(now Now) []Action {
-	indexes := o.plan(now).unowned
-	if slices.Equal(indexes, o.unowned) || len(o.members) == 0 {
-		return nil
-	}
-	o.unowned = indexes
-	return []Action{Unowned{Indexes: indexes}}
-}
-
-// handOver starts and continues handovers: to the members that even shares
-// give ranges to, and of everything when this node does not accept work.
-func (o *Owner) handOver(now Now) []Action {
-	var actions []Action
-	due := o.due(now)
-	for _, to := range sortedNodes(due) {
-		if indexes := due[to]; o.outgoing[to] == nil {
-			o.outgoing[to] = &outgoing{indexes: indexes, deadline: now.Mono + o.cfg.HandOverWait}
-			actions = append(actions, CloseRanges{Indexes: indexes})
-		}
-	}
-	for _, to := range sortedNodes(o.outgoing) {
-		out := o.outgoing[to]
-		switch {
-		case out.sending || now.Mono < out.retryAt:
-		case out.sent:
-			// The answer was lost or negative: the same records again.
-			out.sending = true
-			actions = append(actions, SendHandOver{To: to, Epoch: out.epoch, Indexes: out.indexes})
-		case now.Mono >= out.deadline || !slices.ContainsFunc(out.indexes, func(i int) bool { return o.running(i) > 0 }):
-			out.sent, out.sending, out.sentAt, out.epoch = true, true, now.Mono, o.view.Assignment.Epoch
-			for _, i := range out.indexes {
-				o.frozen[i] = out.epoch
-			}
-			actions = append(actions, SendHandOver{To: to, Epoch: out.epoch, Indexes: out.indexes})
-		}
-	}
-	return actions
-}
-
-// due returns the ranges that can be handed over now, by standby.
-func (o *Owner) due(now Now) map[fleet.NodeID][]int {
-	accepts := o.accepts()
-	if o.writer.pending != nil || accepts && (o.writer.away || now.Mono-o.stableSince < o.cfg.RebalanceDelay) {
-		return nil
-	}
-	want := o.plan(now).want
-	due := map[fleet.NodeID][]int{}
-	for i, r := range o.view.Assignment.Ranges {
-		_, frozen := o.frozen[i]
-		if accepts && now.Mono < o.holdOff[r.Standby] {
-			continue
-		}
-		if o.mine(r) && !frozen && r.Standby != "" && want[i] == r.Standby && o.alive(now, r.Standby) {
-			due[r.Standby] = append(due[r.Standby], i)
-		}
-	}
-	return due
-}
-
-func (o *Owner) handOverDone(now Now, e HandOverDone) []Action {
-	out := o.outgoing[e.To]
-	if out == nil || !out.sent || out.epoch != e.Epoch {
-		return nil
-	}
-	out.sending = false
-	out.refused = e.Refused
-	out.retryAt = now.Mono + o.cfg.PlatformRetry
-	if e.Accepted {
-		// The standby writes now; ask again only if nothing has changed by
-		// the time the range could be reclaimed.
-		out.retryAt = now.Mono + o.cfg.ReclaimAfter
-		return o.writer.read(now)
-	}
-	return nil
-}
-
 // Owns returns how many ranges this process owns by the known view.
 func (o *Owner) Owns() int {
 	n := 0
