--- a/internal/operation/manager.go
+++ b/internal/operation/manager.go
@@ -194,6 +194,7 @@
 		if members[i].Node == m.self {
 			present = true
 			members[i].Accepts = members[i].Accepts && !draining
+			members[i].Leaving = members[i].Leaving || draining
 		}
 	}
 	slices.SortFunc(members, func(x, y Member) int { return compareNodes(x.Node, y.Node) })
@@ -253,85 +254,6 @@
 	return nil
 }
 
-// Do runs the operation of a request at most once. run is called when the
-// operation must run now; it must call mayDispatch immediately before it hands
-// the operation to a target, and must return NotDispatched when that reports
-// false. Do waits for a running duplicate until ctx ends.
-func (m *Manager) Do(ctx context.Context, r Request, run func(ctx context.Context, mayDispatch func() bool) (Answer, Ran)) (Answer, Verdict) {
-	s := m.service(r.Key.Service)
-	for {
-		v, done := m.submit(s, r)
-		switch v.Kind {
-		case Run:
-			r.Run = v.Run
-			return m.run(ctx, s, r, v, run)
-		case Wait:
-			select {
-			case <-done:
-			case <-ctx.Done():
-				return Answer{}, Verdict{Kind: Unknown, Reason: ReasonDeadline, Epoch: v.Epoch}
-			}
-		default:
-			return v.Answer, v
-		}
-	}
-}
-
-func (m *Manager) submit(s *service, r Request) (Verdict, <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.table == nil {
-		return Verdict{Kind: NotOwner, Reason: ReasonNoLease}, nil
-	}
-	v := s.table.Submit(m.clock.Now(), r)
-	if v.Kind != Wait {
-		return v, nil
-	}
-	k := recordKey{r.Key.Tenant, r.Key.Value}
-	if s.waiters[k] == nil {
-		s.waiters[k] = make(chan struct{})
-	}
-	return v, s.waiters[k]
-}
-
-func (m *Manager) run(ctx context.Context, s *service, r Request, v Verdict, run func(context.Context, func() bool) (Answer, Ran)) (a Answer, _ Verdict) {
-	ran := Failed
-	finished := false
-	defer func() {
-		if !finished { // run panicked
-			m.finish(s, r, Answer{}, Failed, v)
-		}
-	}()
-	a, ran = run(ctx, func() bool { return m.mayDispatch(s, r) })
-	finished = true
-	return a, m.finish(s, r, a, ran, v)
-}
-
-func (m *Manager) mayDispatch(s *service, r Request) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.table.MayDispatch(m.clock.Now(), r)
-}
-
-func (m *Manager) finish(s *service, r Request, a Answer, ran Ran, v Verdict) Verdict {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch ran {
-	case Answered:
-		s.table.Complete(m.clock.Now(), r, a)
-	case NotDispatched:
-		v = s.table.Abandon(m.clock.Now(), r)
-	default:
-		v = s.table.Fail(m.clock.Now(), r)
-	}
-	k := recordKey{r.Key.Tenant, r.Key.Value}
-	if done := s.waiters[k]; done != nil {
-		close(done)
-		delete(s.waiters, k)
-	}
-	return v
-}
-
 // Run drives the timers until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
 	defer m.close()
@@ -380,9 +302,14 @@
 	return &controlv1.LeaseRenewal{Service: s.name, Epoch: uint64(r.Epoch), Sequence: r.Sequence}
 }
 
-// Drain hands over all ranges of this node. It returns when none is left, or
-// with an error that names the number of remaining ranges when ctx ends. Run
-// must be running.
+// standbyWait is how long a drained node waits for owners to replace it as
+// their standby: an owner needs to hear of the drain and to write once.
+const standbyWait = 2 * time.Second
+
+// Drain hands over all ranges of this node. It returns when none is left and
+// no owner needs its promises, for which it waits up to two seconds, or with
+// an error that names the number of remaining ranges when ctx ends. Run must
+// be running.
 func (m *Manager) Drain(ctx context.Context) error {
 	m.mu.Lock()
 	m.draining = true
@@ -397,12 +324,20 @@
 	}
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	var without time.Time // when the last range was handed over
 	for {
-		left := 0
+		left, promised := 0, 0
 		for _, s := range services {
-			left += s.owns()
+			owned, standby := s.named(m.self)
+			left, promised = left+owned, promised+standby
 		}
-		if left == 0 {
+		switch {
+		case left > 0:
+			without = time.Time{}
+		case without.IsZero():
+			without = time.Now()
+		}
+		if left == 0 && (promised == 0 || time.Since(without) >= standbyWait) {
 			return nil
 		}
 		select {
@@ -413,13 +348,20 @@
 	}
 }
 
-func (s *service) owns() int {
+// named returns how many ranges this process owns and of how many the node is
+// the standby, by the known view.
+func (s *service) named(self fleet.NodeID) (owned, standby int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.owner == nil {
-		return 0
+		return 0, 0
+	}
+	for _, r := range s.owner.View().Assignment.Ranges {
+		if r.Standby == self {
+			standby++
+		}
 	}
-	return s.owner.Owns()
+	return s.owner.Owns(), standby
 }
 
 func (m *Manager) service(name string) *service {
