Share the YAML reading with positions between bundles and settings

config.Finding and bundle.Finding were the same type, and settings were read by the library's strict decoder, which stops at the first unknown field or wrong type and suggests no name.

Package yamlcheck holds the decoder, the document checks and the near misses. Node settings now report every fault at once, with "did you mean". Findings about settings do not repeat values, because a secret may stand in a wrong place. Durations need a unit; a plain number used to be taken as nanoseconds. Anchors, aliases and tags are refused as in bundles. A check of a value that could not be decoded is left out.

Findings about bundles are unchanged. The bundle tests only use the new names of the decoder's fields.

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -10,6 +10,7 @@
 	"github.com/goccy/go-yaml"
 
 	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/yamlcheck"
 )
 
 // Limits of the format. The ones that are part of the format reference are
@@ -128,17 +129,7 @@
 }
 
 // Finding is one fault of a bundle.
-type Finding struct {
-	File    string `json:"file"`
-	Line    int    `json:"line"`
-	Column  int    `json:"column"`
-	Message string `json:"message"`
-}
-
-// String returns FILE:LINE:COLUMN: message.
-func (f Finding) String() string {
-	return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, f.Message)
-}
+type Finding = yamlcheck.Finding
 
 // Encode returns the bundle as YAML that Parse accepts.
 func (b *Bundle) Encode() ([]byte, error) {
--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -236,14 +236,14 @@
 				class := fmt.Sprintf("c%d", i)
 				s.Routes[i] = Route{Method: "GET", Path: path, Class: class}
 				s.Classes = append(s.Classes, Class{Name: class})
-				d.positions[&s.Routes[i].Path] = nil
+				d.Positions[&s.Routes[i].Path] = nil
 			}
 			hidden := make(map[string]bool)
 			trees := make(map[string]*routeNode)
 			for i, r := range s.Routes {
-				before := len(d.findings)
+				before := d.Len()
 				validator{d}.hidden(&s, i, trees)
-				hidden[r.Class] = len(d.findings) > before
+				hidden[r.Class] = d.Len() > before
 			}
 			linear := &Bundle{Services: []Service{s}}
 			indexed := &Bundle{Services: linear.Services}
--- a/internal/bundle/validate.go
+++ b/internal/bundle/validate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/yamlcheck"
 )
 
 const (
@@ -37,13 +38,13 @@
 // validator checks values that were decoded. A field that is missing or could
 // not be decoded has its own finding already and is not checked again.
 type validator struct {
-	*decoder
+	*yamlcheck.Decoder
 }
 
 // has reports whether all fields were decoded.
 func (v validator) has(fields ...any) bool {
 	for _, f := range fields {
-		if _, ok := v.positions[f]; !ok {
+		if _, ok := v.Positions[f]; !ok {
 			return false
 		}
 	}
@@ -52,14 +53,14 @@
 
 // at records a finding at a decoded field.
 func (v validator) at(field any, format string, args ...any) {
-	if p, ok := v.positions[field]; ok {
-		v.addAt(p, format, args...)
+	if p, ok := v.Positions[field]; ok {
+		v.AddAt(p, format, args...)
 	}
 }
 
 // line returns the line of a decoded field.
 func (v validator) line(field any) int {
-	if p := v.positions[field]; p != nil {
+	if p := v.Positions[field]; p != nil {
 		return p.Line
 	}
 	return 0
@@ -276,7 +277,7 @@
 		r := &s.Routes[i]
 		used[r.Class] = true
 		if allNamed && v.has(&r.Class) && !known[r.Class] {
-			v.at(&r.Class, "unknown class %s in service %s%s", r.Class, s.Name, suggestion(r.Class, classNames))
+			v.at(&r.Class, "unknown class %s in service %s%s", r.Class, s.Name, yamlcheck.Suggestion(r.Class, classNames))
 		}
 		if v.method(r) && v.path(r) {
 			v.hidden(s, i, trees)
@@ -295,7 +296,7 @@
 		return false
 	}
 	if !slices.Contains(methods, r.Method) {
-		v.at(&r.Method, "unknown method %s%s", r.Method, suggestion(r.Method, methods))
+		v.at(&r.Method, "unknown method %s%s", r.Method, yamlcheck.Suggestion(r.Method, methods))
 		return false
 	}
 	return true
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -1,79 +1,63 @@
 package config
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/parser"
+
+	"siskinvale.dev/siskinvale/internal/yamlcheck"
 )
 
-// Finding is one problem of a settings file.
-type Finding struct {
-	File         string
-	Line, Column int
-	Message      string
-}
+// maxSize bounds a settings file in bytes; one with hundreds of peers and keys
+// takes about 100 KB.
+const maxSize = 1 << 20
 
-// String returns FILE:LINE:COLUMN: message.
-func (f Finding) String() string {
-	return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, f.Message)
-}
+// Finding is one problem of a settings file.
+type Finding = yamlcheck.Finding
 
+// checker checks decoded settings. Values do not appear in the findings of the
+// decoder, because a secret may stand in a wrong place.
 type checker struct {
-	file     string
-	content  []byte
-	tree     *ast.File
-	findings []Finding
+	*yamlcheck.Decoder
+	root ast.Node
 }
 
-func newChecker(file string, content []byte) *checker {
-	return &checker{file: file, content: content}
+func newChecker(file string) *checker {
+	return &checker{Decoder: yamlcheck.NewDecoder(file, yamlcheck.Options{
+		What: "settings file", MaxSize: maxSize, Optional: true, HideValues: true,
+	})}
 }
 
-// decode fills s and reports whether the file could be read as settings.
-func (c *checker) decode(s *Settings) bool {
-	tree, err := parser.ParseBytes(c.content, 0)
-	if err != nil {
-		c.addError(err)
-		return false
-	}
-	c.tree = tree
-	if err := yaml.UnmarshalWithOptions(c.content, s, yaml.DisallowUnknownField()); err != nil {
-		c.addError(err)
+// decode fills s and reports whether the file could be read as YAML.
+func (c *checker) decode(content []byte, s *Settings) bool {
+	if c.root = c.Parse(content); c.root == nil {
 		return false
 	}
+	c.Decode(c.root, s)
 	return true
 }
 
-func (c *checker) addError(err error) {
-	f := Finding{File: c.file, Line: 1, Column: 1, Message: err.Error()}
-	var at yaml.Error
-	if errors.As(err, &at) {
-		f.Message = at.GetMessage()
-		if t := at.GetToken(); t != nil {
-			f.Line, f.Column = t.Position.Line, t.Position.Column
-		}
-	}
-	c.findings = append(c.findings, f)
-}
-
 // add records a finding at the value that path names. Where the value is
-// missing, the place is that of the nearest parent that exists.
+// missing, the place is that of the nearest parent that exists. A value that
+// could not be decoded has its finding already.
 func (c *checker) add(path, format string, args ...any) {
-	f := Finding{File: c.file, Line: 1, Column: 1, Message: path[len("$."):] + ": " + fmt.Sprintf(format, args...)}
-	if node := c.nearest(path); node != nil {
-		f.Line, f.Column = node.GetToken().Position.Line, node.GetToken().Position.Column
+	message := path[len("$."):] + ": " + fmt.Sprintf(format, args...)
+	node := c.nearest(path)
+	if node == nil {
+		c.AddAt(nil, "%s", message)
+		return
+	}
+	if at := yamlcheck.Position(node); !c.Undecoded(at) {
+		c.AddAt(at, "%s", message)
 	}
-	c.findings = append(c.findings, f)
 }
 
 func (c *checker) nearest(path string) ast.Node {
 	for len(path) > len("$") {
 		if p, err := yaml.PathString(path); err == nil {
-			if node, err := p.FilterFile(c.tree); err == nil && node != nil {
+			if node, err := p.FilterNode(c.root); err == nil && node != nil {
 				return node
 			}
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -117,10 +117,10 @@
 
 // Parse checks the content of a settings file; file names it in the findings.
 func Parse(file string, content []byte) (*Settings, []Finding) {
-	c := newChecker(file, content)
+	c := newChecker(file)
 	s := defaults()
-	if !c.decode(s) {
-		return nil, c.findings
+	if !c.decode(content, s) {
+		return nil, c.Findings()
 	}
 	c.checkIdentity(s)
 	c.checkListen(s)
@@ -131,8 +131,8 @@
 	c.checkTrust("$.trust.authors", s.Trust.Authors)
 	c.checkTrust("$.trust.approvers", s.Trust.Approvers)
 	c.checkRest(s)
-	if len(c.findings) > 0 {
-		return nil, c.findings
+	if findings := c.Findings(); len(findings) > 0 {
+		return nil, findings
 	}
 	return s, nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -71,4 +71,31 @@
 		_, findings = config.Parse("node.yaml", []byte("node: [\n"))
 		Expect(findings).NotTo(BeEmpty())
 	})
+
+	// Guards against settings that have to be mended one fault at a time, and
+	// against a secret in a wrong place that is printed with its finding.
+	It("reports all unknown fields with near names and all wrong types, without values", func() {
+		broken := strings.NewReplacer(
+			"callers: 127.0.0.1:7001", "caller: 127.0.0.1:7001",
+			"peers: [127.0.0.1:7102]", "peers: 127.0.0.1:7102",
+			"id: f1, secret: 0123456789abcdef0123456789abcdef", "id: f1, secret: 123456789",
+			"operators: [{id: o1, secret: 0123456789abcdef0123456789abcdef}]", "operators: [sesame]",
+			"longestWait: 30s", "longestWait: 30, longestwait: 1s",
+		).Replace(valid) + "limits: {inFlight: many}\nlog:\n"
+		_, findings := config.Parse("node.yaml", []byte(broken))
+		var lines []string
+		for _, f := range findings {
+			lines = append(lines, f.String())
+		}
+		Expect(lines).To(Equal([]string{
+			"node.yaml:3:3: listen.callers: a value is needed",
+			"node.yaml:3:3: unknown field caller; did you mean callers?",
+			"node.yaml:7:8: peers: want a list, found something else",
+			"node.yaml:10:28: secret: want a string (quote it if it looks like a number), found something else",
+			"node.yaml:11:15: entry of operators: want named fields, found something else",
+			`node.yaml:15:22: longestWait: invalid duration "30": want a number with a unit, such as 1.5s or 200ms`,
+			"node.yaml:15:26: unknown field longestwait; did you mean longestWait?",
+			"node.yaml:16:20: inFlight: want a whole number in range, found something else",
+		}))
+	})
 })
--- a/internal/bundle/decode.go
+++ b/internal/yamlcheck/decode.go
@@ -1,29 +1,50 @@
-package bundle
+package yamlcheck
 
 import (
 	"encoding"
+	"fmt"
 	"reflect"
 	"strings"
+	"time"
 
 	"github.com/agnivade/levenshtein"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/token"
 )
 
-// decoder fills structs from a YAML tree. Unlike the library's own strict
+// Options set what a format allows.
+type Options struct {
+	// What names a document of the format in findings, without an article.
+	What string
+	// MaxSize is the largest accepted document in bytes.
+	MaxSize int
+	// Optional allows fields to be missing or empty.
+	Optional bool
+	// HideValues keeps values out of findings, for formats with secrets.
+	HideValues bool
+}
+
+// Decoder fills structs from a YAML tree. Unlike the library's own strict
 // decoder, it continues after a fault and remembers where each value came
 // from, so that all findings are reported together with their location.
-type decoder struct {
-	file     string
-	findings []Finding
-	// positions maps the address of each correctly decoded value to its
+type Decoder struct {
+	// Positions maps the address of each correctly decoded value to its
 	// location. The address is typed, so that a struct and its first field
 	// differ.
-	positions map[any]*token.Position
+	Positions map[any]*token.Position
+
+	file     string
+	options  Options
+	findings []Finding
+	// undecoded holds the places of values that could not be decoded.
+	undecoded map[place]bool
 	fields    map[reflect.Type][]field
 	strings   map[string]string
 }
 
+// place is a line and a column.
+type place struct{ line, column int }
+
 // field is one key of a mapping.
 type field struct {
 	name     string
@@ -31,14 +52,18 @@
 	optional bool
 }
 
-func newDecoder(file string) *decoder {
-	return &decoder{file: file, positions: make(map[any]*token.Position), fields: make(map[reflect.Type][]field), strings: make(map[string]string)}
+// NewDecoder returns a decoder for one document; file names it in findings.
+func NewDecoder(file string, options Options) *Decoder {
+	return &Decoder{
+		Positions: make(map[any]*token.Position), file: file, options: options, undecoded: make(map[place]bool),
+		fields: make(map[reflect.Type][]field), strings: make(map[string]string),
+	}
 }
 
-// intern returns a copy of s that equal values share. A bundle repeats methods
-// and class names thousands of times, and the original may be a part of the
+// intern returns a copy of s that equal values share. A document may repeat
+// names thousands of times, and the original may be a part of the
 // whole text.
-func (d *decoder) intern(s string) string {
+func (d *Decoder) intern(s string) string {
 	known, ok := d.strings[s]
 	if !ok {
 		known = strings.Clone(s)
@@ -47,13 +72,20 @@
 	return known
 }
 
-// decode fills the struct that target points to.
-func (d *decoder) decode(root ast.Node, target any) {
-	d.value(root, reflect.ValueOf(target).Elem(), "the bundle")
+// Decode fills the struct that target points to.
+func (d *Decoder) Decode(root ast.Node, target any) {
+	d.value(root, reflect.ValueOf(target).Elem(), "the "+d.options.What)
 }
 
-func (d *decoder) value(node ast.Node, v reflect.Value, name string) {
+func (d *Decoder) value(node ast.Node, v reflect.Value, name string) {
+	if _, empty := node.(*ast.NullNode); empty && d.options.Optional {
+		return
+	}
 	address := v.Addr().Interface()
+	if duration, ok := address.(*time.Duration); ok {
+		d.text(node, (*textDuration)(duration), name)
+		return
+	}
 	if text, ok := address.(encoding.TextUnmarshaler); ok {
 		d.text(node, text, name)
 		return
@@ -65,30 +97,30 @@
 		d.sequence(node, v, name)
 	default:
 		if want := d.scalar(node, v); want != "" {
-			d.addAt(position(node), "%s: want %s, found %s", name, want, describe(node))
+			d.refuse(node, "%s: want %s, found %s", name, want, d.describe(node))
 			return
 		}
-		d.positions[address] = position(node)
+		d.Positions[address] = Position(node)
 	}
 }
 
-func (d *decoder) text(node ast.Node, into encoding.TextUnmarshaler, name string) {
+func (d *Decoder) text(node ast.Node, into encoding.TextUnmarshaler, name string) {
 	text := node.String()
 	if s, ok := node.(*ast.StringNode); ok {
 		text = s.Value
 	} else if _, ok := node.(ast.ScalarNode); !ok {
-		d.addAt(position(node), "%s: want a single value, found %s", name, describe(node))
+		d.refuse(node, "%s: want a single value, found %s", name, d.describe(node))
 		return
 	}
 	if err := into.UnmarshalText([]byte(text)); err != nil {
-		d.addAt(position(node), "%s: %s", name, err)
+		d.refuse(node, "%s: %s", name, err)
 		return
 	}
-	d.positions[into] = position(node)
+	d.Positions[into] = Position(node)
 }
 
 // scalar sets v and returns "", or returns what it wanted.
-func (d *decoder) scalar(node ast.Node, v reflect.Value) string {
+func (d *Decoder) scalar(node ast.Node, v reflect.Value) string {
 	switch v.Kind() {
 	case reflect.String:
 		if n, ok := node.(*ast.StringNode); ok {
@@ -145,26 +177,26 @@
 	return v.Uint() == positive
 }
 
-func (d *decoder) sequence(node ast.Node, v reflect.Value, name string) {
+func (d *Decoder) sequence(node ast.Node, v reflect.Value, name string) {
 	n, ok := node.(*ast.SequenceNode)
 	if !ok {
-		d.addAt(position(node), "%s: want a list, found %s", name, describe(node))
+		d.refuse(node, "%s: want a list, found %s", name, d.describe(node))
 		return
 	}
-	d.positions[v.Addr().Interface()] = position(node)
+	d.Positions[v.Addr().Interface()] = Position(node)
 	// The slice gets its final length first, so that the addresses of its
 	// elements stay valid.
 	v.Set(reflect.MakeSlice(v.Type(), len(n.Values), len(n.Values)))
 	for i, element := range n.Values {
 		if element == nil {
-			d.addAt(position(node), "%s: entry %d is empty", name, i+1)
+			d.AddAt(Position(node), "%s: entry %d is empty", name, i+1)
 			continue
 		}
 		d.value(element, v.Index(i), "entry of "+name)
 	}
 }
 
-func (d *decoder) mapping(node ast.Node, v reflect.Value, name string) {
+func (d *Decoder) mapping(node ast.Node, v reflect.Value, name string) {
 	var entries []*ast.MappingValueNode
 	switch n := node.(type) {
 	case *ast.MappingNode:
@@ -172,35 +204,38 @@
 	case *ast.MappingValueNode:
 		entries = []*ast.MappingValueNode{n}
 	default:
-		d.addAt(position(node), "%s: want named fields, found %s", name, describe(node))
+		d.refuse(node, "%s: want named fields, found %s", name, d.describe(node))
 		return
 	}
-	d.positions[v.Addr().Interface()] = position(node)
+	d.Positions[v.Addr().Interface()] = Position(node)
 	fields := d.fieldsOf(v.Type())
 	seen := make([]bool, len(fields))
 	for _, entry := range entries {
 		d.entry(entry, v, fields, seen, name)
 	}
 	for i, f := range fields {
-		if !seen[i] && !f.optional {
-			d.addAt(position(node), "%s: missing field %s", name, f.name)
+		if !seen[i] && !f.optional && !d.options.Optional {
+			d.AddAt(Position(node), "%s: missing field %s", name, f.name)
 		}
 	}
 }
 
-func (d *decoder) entry(entry *ast.MappingValueNode, v reflect.Value, fields []field, seen []bool, name string) {
+func (d *Decoder) entry(entry *ast.MappingValueNode, v reflect.Value, fields []field, seen []bool, name string) {
 	key := keyName(entry.Key)
 	for i, f := range fields {
 		if f.name != key {
 			continue
 		}
 		if seen[i] {
-			d.addAt(entry.Key.GetToken().Position, "%s: field %s is given twice", name, key)
+			d.AddAt(entry.Key.GetToken().Position, "%s: field %s is given twice", name, key)
 			return
 		}
 		seen[i] = true
 		if entry.Value == nil {
-			d.addAt(entry.Key.GetToken().Position, "%s: field %s is empty", name, key)
+			if d.options.Optional {
+				return
+			}
+			d.AddAt(entry.Key.GetToken().Position, "%s: field %s is empty", name, key)
 			return
 		}
 		d.value(entry.Value, v.FieldByIndex(f.index), key)
@@ -210,11 +245,11 @@
 	for i, f := range fields {
 		names[i] = f.name
 	}
-	d.addAt(entry.Key.GetToken().Position, "unknown field %s%s", key, suggestion(key, names))
+	d.AddAt(entry.Key.GetToken().Position, "unknown field %s%s", key, Suggestion(key, names))
 }
 
 // fieldsOf lists the keys of a struct type, with those of embedded structs.
-func (d *decoder) fieldsOf(t reflect.Type) []field {
+func (d *Decoder) fieldsOf(t reflect.Type) []field {
 	if known, ok := d.fields[t]; ok {
 		return known
 	}
@@ -244,13 +279,13 @@
 	return key.String()
 }
 
-// position returns where a node starts. The token of a block mapping is its
+// Position returns where a node starts. The token of a block mapping is its
 // first colon, so the first key is used instead.
-func position(node ast.Node) *token.Position {
+func Position(node ast.Node) *token.Position {
 	switch n := node.(type) {
 	case *ast.MappingNode:
 		if !n.IsFlowStyle && len(n.Values) > 0 {
-			return position(n.Values[0])
+			return Position(n.Values[0])
 		}
 	case *ast.MappingValueNode:
 		return n.Key.GetToken().Position
@@ -261,7 +296,21 @@
 	return nil
 }
 
-func describe(node ast.Node) string {
+// refuse records that a value could not be decoded.
+func (d *Decoder) refuse(node ast.Node, format string, args ...any) {
+	if p := Position(node); p != nil {
+		d.undecoded[place{p.Line, p.Column}] = true
+	}
+	d.AddAt(Position(node), format, args...)
+}
+
+// Undecoded reports whether the value at p has a finding because it could not
+// be decoded. Checks of its meaning would only repeat that.
+func (d *Decoder) Undecoded(p *token.Position) bool {
+	return p != nil && d.undecoded[place{p.Line, p.Column}]
+}
+
+func (d *Decoder) describe(node ast.Node) string {
 	switch node.(type) {
 	case *ast.MappingNode, *ast.MappingValueNode:
 		return "named fields"
@@ -270,12 +319,15 @@
 	case *ast.NullNode:
 		return "nothing"
 	}
+	if d.options.HideValues {
+		return "something else"
+	}
 	return node.String()
 }
 
-// suggestion returns "; did you mean X?" for the nearest candidate, or "" when
+// Suggestion returns "; did you mean X?" for the nearest candidate, or "" when
 // none is near: at most a third of the characters, and at least one, may differ.
-func suggestion(got string, candidates []string) string {
+func Suggestion(got string, candidates []string) string {
 	best, distance := "", max(1, len(got)/3)+1
 	for _, c := range candidates {
 		if n := levenshtein.ComputeDistance(strings.ToLower(got), strings.ToLower(c)); n < distance {
@@ -287,3 +339,16 @@
 	}
 	return "; did you mean " + best + "?"
 }
+
+// textDuration is a time.Duration that is written like "1.5s". A plain number
+// is refused, because its unit would be nanoseconds.
+type textDuration time.Duration
+
+func (d *textDuration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("invalid duration %q: want a number with a unit, such as 1.5s or 200ms", text)
+	}
+	*d = textDuration(parsed)
+	return nil
+}
