--- a/internal/event/bundle.go
+++ b/internal/event/bundle.go
@@ -6,7 +6,6 @@
 var (
 	BundleActivated = declare(2001, "bundle-activated", logrus.InfoLevel, "a bundle version is in force")
 	BundleRefused   = alarm(2002, "bundle-refused", "a bundle was refused; the version in force stays in force")
-	BundleNotNewer  = declare(2003, "bundle-not-newer", logrus.DebugLevel, "a bundle that is not newer than the one in force was ignored")
 	PieceRefused    = declare(2004, "piece-refused", logrus.WarnLevel, "a bundle piece did not match its name and was dropped")
 	PieceMissing    = declare(2005, "piece-missing", logrus.WarnLevel, "a bundle piece could not be fetched; the fetch is repeated")
 	BundleConflict  = alarm(2006, "bundle-conflict", "two different bundles have the same version")
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -63,6 +64,51 @@
 	})
 })
 
+// link matches the target of a Markdown link.
+var link = regexp.MustCompile(`\]\(([^)\s]+)\)`)
+
+var _ = Describe("Documentation", func() {
+	// Guards against links to pages that were moved, removed or never written.
+	It("has no relative link to a missing file", func() {
+		pages := []string{filepath.Join(docs, "..", "README.md")}
+		Expect(filepath.WalkDir(docs, func(path string, _ os.DirEntry, err error) error {
+			if filepath.Ext(path) == ".md" {
+				pages = append(pages, path)
+			}
+			return err
+		})).To(Succeed())
+		Expect(len(pages)).To(BeNumerically(">", 10))
+		var missing []string
+		for _, page := range pages {
+			content, err := os.ReadFile(page)
+			Expect(err).NotTo(HaveOccurred())
+			for _, match := range link.FindAllStringSubmatch(string(content), -1) {
+				target, _, _ := strings.Cut(match[1], "#")
+				if target == "" || strings.Contains(target, "://") || strings.HasPrefix(target, "mailto:") {
+					continue
+				}
+				if _, err := os.Stat(filepath.Join(filepath.Dir(page), target)); err != nil {
+					missing = append(missing, page+": "+match[1])
+				}
+			}
+		}
+		Expect(missing).To(BeEmpty())
+	})
+
+	// Guards against an alarm that the operators' index does not list.
+	It("lists every alarm and task page in the operators' index", func() {
+		index, err := os.ReadFile(filepath.Join(docs, "operations", "README.md"))
+		Expect(err).NotTo(HaveOccurred())
+		pages, err := filepath.Glob(filepath.Join(docs, "operations", "*.md"))
+		Expect(err).NotTo(HaveOccurred())
+		for _, page := range pages {
+			if name := filepath.Base(page); name != "README.md" {
+				Expect(string(index)).To(ContainSubstring("(" + name + ")"))
+			}
+		}
+	})
+})
+
 // checkSections requires each section once, in order and with text.
 func checkSections(e event.Event, content string) {
 	GinkgoHelper()
--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -9,5 +9,4 @@
 	FloorReached     = alarm(4003, "floor-reached", "unhealthy targets go on serving because the service is at its floor")
 	PathAvoided      = declare(4004, "path-avoided", logrus.WarnLevel, "target avoided by this node because of the path to it")
 	SourceDistrusted = declare(4005, "source-distrusted", logrus.WarnLevel, "reports of a node are not used because it reports most targets as unhealthy")
-	RouteFallback    = declare(4006, "route-fallback", logrus.WarnLevel, "no healthy target was left; the least unhealthy one was used")
 )
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -127,6 +127,7 @@
 func (c *control) run(ctx context.Context) {
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
+	c.node.log.Log(event.BundleAwaited, nil)
 	c.stepMembers(membership.Start{Seeds: c.node.settings.Load().Peers})
 	c.stepRollout(rollout.NodeChanged{Node: c.members.Self()})
 	for {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,12 +99,14 @@
 func (n *Node) Run(ctx context.Context) error {
 	transport, err := membership.Listen(n.self.PeerAddr, n.peerKeys, n.control.deliver)
 	if err != nil {
+		n.log.Log(event.ListenerFailed, event.Fields{"listener": "membership", "error": err.Error()})
 		return err
 	}
 	defer transport.Close()
 	n.control.transport = transport
 	servers, err := n.listen()
 	if err != nil {
+		n.log.Log(event.ListenerFailed, event.Fields{"error": err.Error()})
 		return err
 	}
 	// Work outlives ctx: a graceful stop still needs leases and membership.
@@ -112,7 +114,13 @@
 	defer stop()
 	group, groupCtx := errgroup.WithContext(background)
 	for _, s := range servers {
-		group.Go(s.serve)
+		group.Go(func() error {
+			err := s.serve()
+			if err != nil {
+				n.log.Log(event.ListenerFailed, event.Fields{"listener": s.name, "error": err.Error()})
+			}
+			return err
+		})
 	}
 	group.Go(func() error { n.control.run(groupCtx); return nil })
 	group.Go(func() error { n.operations.Run(groupCtx); return nil })
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/bundle"
@@ -40,7 +41,7 @@
 	case rollout.FetchPieces:
 		c.fetch(platformReadTimeout, func(ctx context.Context) rollout.Event { return c.fetchPieces(ctx, a) })
 	case rollout.Reject:
-		c.node.log.Log(event.BundleRefused, event.Fields{"from": a.From, "version": a.Version, "error": a.Err.Error()})
+		c.node.log.Log(refusal(a.Err), event.Fields{"from": a.From, "version": a.Version, "error": a.Err.Error()})
 	case rollout.Conflict:
 		c.node.log.Log(event.BundleConflict, event.Fields{
 			"from": a.From, "version": a.Version, "inForce": a.InForce, "different": a.Different,
@@ -51,12 +52,29 @@
 	}
 }
 
+// refusal is the event of refused content. A damaged piece is fetched again
+// from another source and needs no operator.
+func refusal(err error) event.Event {
+	if errors.Is(err, rollout.ErrPiece) {
+		return event.PieceRefused
+	}
+	return event.BundleRefused
+}
+
+// logMissing logs pieces that a source did not deliver.
+func (c *control) logMissing(result rollout.Event) {
+	if failed, ok := result.(rollout.FetchFailed); ok && len(failed.Names) > 0 {
+		c.node.log.Log(event.PieceMissing, event.Fields{"from": failed.From, "pieces": len(failed.Names), "error": failed.Err.Error()})
+	}
+}
+
 // fetch runs f beside the control goroutine and feeds its result back.
 func (c *control) fetch(timeout time.Duration, f func(ctx context.Context) rollout.Event) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		result := f(ctx)
+		c.logMissing(result)
 		c.post(func() { c.stepRollout(result) })
 	}()
 }
