Test the release of key ranges against lost processes

The release was only tested inside the operation package, so nothing showed that siskinvalectl, the node and the platform work together.

--- a/internal/processtest/operators_test.go
+++ b/internal/processtest/operators_test.go
@@ -121,4 +121,40 @@
 		Eventually(f.Operate).WithArguments("bundle", "status", "--want", "2").WithTimeout(settle).
 			Should(ContainSubstring("2 of 2 nodes"))
 	})
+
+	// Guards against a release that is accepted and changes nothing: ranges
+	// whose owner and standby are both lost must be owned and run again.
+	It("releases the key ranges of two nodes that are lost together", func() {
+		f := startFleet(processtest.Config{DataCentres: 3})
+		o := operators{f}
+		survivor := f.Nodes[0]
+		caller := load.NewCaller("magnolia", 2*time.Second)
+		defer caller.Close()
+		hold, ok := f.Kind(func(k processtest.Kind) bool { return k.Keyed })
+		Expect(ok).To(BeTrue())
+		for _, n := range f.Nodes {
+			Expect(f.WaitAnswered(caller, n, hold)).To(Succeed())
+		}
+		// The fault needs ranges whose owner and standby are the two nodes that
+		// are killed.
+		Eventually(func() (lost int, err error) {
+			assignment, err := f.Assignment(hold.Service)
+			for _, r := range assignment.Ranges {
+				if string(r.Owner) != survivor.ID && string(r.Standby) != survivor.ID && r.Standby != "" {
+					lost++
+				}
+			}
+			return lost, err
+		}).WithTimeout(2 * settle).Should(BeNumerically(">", 0))
+		f.Nodes[1].Kill()
+		f.Nodes[2].Kill()
+		Eventually(survivor.Log).WithTimeout(settle).Should(ContainSubstring(`"name":"range-has-no-owner"`))
+		Expect(survivor.Log()).NotTo(ContainSubstring("ranges-owned-again"))
+		o.table("operations", "release", "booking", "--yes")
+		Eventually(survivor.Log).WithTimeout(settle).Should(ContainSubstring("ranges-owned-again"))
+		// Keys that are new after the release run; WaitAnswered uses fresh ones.
+		for range 20 {
+			Expect(f.WaitAnswered(caller, survivor, hold)).To(Succeed())
+		}
+	})
 })
--- a/internal/processtest/status.go
+++ b/internal/processtest/status.go
@@ -10,6 +10,8 @@
 	"siskinvale.dev/siskinvale/internal/auth"
 	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
 	"siskinvale.dev/siskinvale/internal/control/v1/controlv1connect"
+	"siskinvale.dev/siskinvale/internal/operation"
+	"siskinvale.dev/siskinvale/internal/platform"
 )
 
 // statusTimeout bounds one status call.
@@ -31,6 +33,18 @@
 	return client.Status(ctx, &controlv1.StatusRequest{})
 }
 
+// Assignment reads the owners of a service's key ranges from the platform.
+func (f *Fleet) Assignment(service string) (operation.Assignment, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	client := platform.NewHTTP(f.Platform.URL, f.keys.platformToken, platform.DefaultBudget())
+	object, err := client.Get(ctx, operation.ObjectKey(service))
+	if err != nil {
+		return operation.Assignment{}, err
+	}
+	return operation.DecodeAssignment(object.Value)
+}
+
 // InForce returns the bundle version in force on each running node, 0 for one
 // that does not answer.
 func (f *Fleet) InForce() map[string]uint64 {
