--- a/internal/event/node.go
+++ b/internal/event/node.go
@@ -13,6 +13,7 @@
 	SettingsRefused    = declare(1007, "settings-refused", logrus.ErrorLevel, "settings could not be read again; the old ones stay in force")
 	HandoverIncomplete = declare(1010, "handover-incomplete", logrus.WarnLevel, "key ranges were not handed over before the stop; their standbys take over later")
 	MessageRefused     = declare(1011, "message-refused", logrus.WarnLevel, "a message of a peer was refused")
+	ListenerFailed     = declare(1008, "listener-failed", logrus.ErrorLevel, "a listener failed")
 	AuthRefused        = declare(1009, "auth-refused", logrus.WarnLevel, "a peer or operator without valid credentials was refused")
 )
 
