Tell not-run only while an owner's refusal is fresh

Cause: the schedules of keyed operations showed a refusal that reached its caller after a newer request with the same key had run. Change: the owner's refusal carries the time until which it may be told; the ingress says unknown after it.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -127,6 +127,9 @@
 			break
 		}
 		if reply.Outcome != fleet.NotRun || reply.FromOwner {
+			if in.late(reply) {
+				reply.Outcome, reply.Reason = fleet.Unknown, "the owner's refusal was under way for too long"
+			}
 			return reply
 		}
 		if !sleep(ctx, ownerWait) {
@@ -137,6 +140,11 @@
 	return reply
 }
 
+// late reports whether an owner's refusal came too late to be told as not-run.
+func (in *Ingress) late(reply *link.Reply) bool {
+	return reply.Outcome == fleet.NotRun && !reply.NotRunUntil.IsZero() && in.cfg.Clock().After(reply.NotRunUntil)
+}
+
 func (in *Ingress) keyedAttempt(ctx context.Context, req *request) *link.Reply {
 	view := in.view.Load()
 	call := req.call(in.cfg.Clock())
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -205,6 +205,11 @@
 		run("operation answered", newSession(fromOwner(answered("ok"))), "POST", "/holds", "x", "Idempotency-Key", key())
 		run("operation in doubt is not sent again", newSession(doubtful("connection lost"), answered("ok")), "POST", "/holds", "x", "Idempotency-Key", key(), "Siskinvale-Attempt", "1")
 		run("operation refused by its owner", newSession(fromOwner(refused("full"))), "POST", "/holds", "x", "Idempotency-Key", key())
+		run("operation refused too long ago", newSession(func(c *link.Call) *link.Reply {
+			r := fromOwner(refused("full"))(c)
+			r.NotRunUntil = time.Now().Add(-time.Millisecond)
+			return r
+		}), "POST", "/holds", "x", "Idempotency-Key", key())
 		run("operation finds its new owner", newSession(refused("no lease"), fromOwner(answered("ok"))), "POST", "/holds", "x", "Idempotency-Key", key())
 		run("first request of an operation behind a fence", newSession(refused("no lease"), fenced), "POST", "/holds", "x", "Idempotency-Key", key(), "Siskinvale-Attempt", "1")
 		run("repeated request of an operation behind a fence", newSession(refused("no lease"), fenced), "POST", "/holds", "x", "Idempotency-Key", key())
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -55,6 +55,10 @@
 	// FromOwner reports that the owner of a keyed operation decided the
 	// outcome. Its NotRun covers earlier and delayed requests with the same key.
 	FromOwner bool
+	// NotRunUntil is the wall time until which an owner's NotRun may be told to
+	// the caller; zero means always. After it, the outcome is unknown: the
+	// caller may have sent another request meanwhile.
+	NotRunUntil time.Time
 	// Undispatched reports that this call was not dispatched although the
 	// outcome of its operation is unknown.
 	Undispatched bool
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -42,6 +42,7 @@
 	headerFromOwner    = "Siskinvale-From-Owner"
 	headerMismatch     = "Siskinvale-Key-Mismatch"
 	headerUndispatched = "Siskinvale-Undispatched"
+	headerNotRunUntil  = "Siskinvale-Not-Run-Until"
 	headerRetry        = "Siskinvale-Retry-After"
 	headerLoad         = "Siskinvale-Load"
 )
@@ -161,6 +162,9 @@
 	if r.Misrouted {
 		h.Set(headerMisrouted, "1")
 	}
+	if !r.NotRunUntil.IsZero() {
+		h.Set(headerNotRunUntil, strconv.FormatInt(r.NotRunUntil.UnixMilli(), 10))
+	}
 	if r.Undispatched {
 		h.Set(headerUndispatched, "1")
 	}
@@ -198,6 +202,9 @@
 		Body:          resp.Body,
 		ContentLength: resp.ContentLength,
 	}
+	if until, err := strconv.ParseInt(h.Get(headerNotRunUntil), 10, 64); err == nil {
+		r.NotRunUntil = time.UnixMilli(until)
+	}
 	CopyEndToEnd(r.Header, h)
 	return r
 }
--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -95,7 +95,7 @@
 	case operation.NotOwner:
 		reply.Misrouted = true
 	case operation.NotRun, operation.Unknown:
-		reply.FromOwner = true
+		reply.FromOwner, reply.NotRunUntil = true, verdict.NotRunUntil
 		reply.Undispatched = verdict.Reason == operation.ReasonFenced
 	case operation.Mismatch:
 		reply.FromOwner, reply.Mismatch = true, true
