--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -37,10 +37,9 @@
 // share a connection, so that a long body cannot delay a short answer through
 // flow control or loss. It is safe for concurrent use.
 type Pool struct {
-	cfg    Config
-	mu     sync.Mutex
-	closed bool
-	links  map[linkKey]*http.Client
+	cfg   Config
+	mu    sync.Mutex
+	links map[linkKey]*http.Client
 }
 
 type linkKey struct {
