--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/auth"
@@ -54,11 +55,17 @@
 // copyBufferSize is the memory that one streamed answer holds at a hop.
 const copyBufferSize = 32 << 10
 
+// copyBuffers are reused: a buffer for each answer was most of the garbage of
+// a small answer.
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
+
 // CopyBody streams src to w and flushes each chunk, so that a slow body
 // arrives as it is made. The error says which side failed.
 func CopyBody(w http.ResponseWriter, src io.Reader) error {
 	flusher := http.NewResponseController(w)
-	buf := make([]byte, copyBufferSize)
+	pooled := copyBuffers.Get().(*[copyBufferSize]byte)
+	defer copyBuffers.Put(pooled)
+	buf := pooled[:]
 	for {
 		n, readErr := src.Read(buf)
 		if n > 0 {
