--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -57,7 +57,8 @@
 	InFlight int
 	Queued   int
 	Slots    int
-	// QueuedWork is the expected run time of all work that is queued or in
-	// flight.
+	// QueuedWork is the expected run time of the work that a short request
+	// would wait for, in all slots together. Queued long work is left out,
+	// because it does not delay short work.
 	QueuedWork time.Duration
 }
