Build the set of hop-by-hop headers once

Cause: every copy of headers, several for each request, built the same map of nine fixed names. Change: the fixed names are one package variable; a map is made only for names that a Connection header lists. Behaviour is unchanged. Result: the tests of link, ingress and sidecar pass with the race detector.

--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -49,34 +49,36 @@
 
 // hopByHop are the headers that concern one connection only, by RFC 9110
 // section 7.6.1.
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Proxy-Authenticate", "Proxy-Authorization",
+var hopByHop = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
 }
 
 // CopyEndToEnd copies the headers from src to dst that belong to the request
 // or answer itself: neither hop-by-hop headers nor the fleet's own.
 func CopyEndToEnd(dst, src http.Header) {
-	dropped := connectionHeaders(src)
+	named := connectionHeaders(src)
 	for name, values := range src {
-		if strings.HasPrefix(name, prefixInternal) || dropped[name] {
+		if strings.HasPrefix(name, prefixInternal) || hopByHop[name] || named[name] {
 			continue
 		}
 		dst[name] = values
 	}
 }
 
+// connectionHeaders returns the headers that the Connection header names, nil
+// for the usual case of none.
 func connectionHeaders(h http.Header) map[string]bool {
-	dropped := make(map[string]bool, len(hopByHop))
-	for _, name := range hopByHop {
-		dropped[name] = true
-	}
+	var named map[string]bool
 	for _, list := range h["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			dropped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+			if named == nil {
+				named = make(map[string]bool)
+			}
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
 		}
 	}
-	return dropped
+	return named
 }
 
 // writeHeader puts the call's fields and the caller's headers into h.
