--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -124,8 +124,8 @@
 	return resp, nil
 }
 
-// FetchPieces returns the requested pieces of the bundle in force, as many as
-// fit one message.
+// FetchPieces returns the requested pieces of the bundle in force and of those
+// that it replaced lately, as many as fit one message.
 func (s *peerService) FetchPieces(_ context.Context, req *controlv1.FetchPiecesRequest) (*controlv1.FetchPiecesResponse, error) {
 	resp := &controlv1.FetchPiecesResponse{Pieces: make(map[string][]byte)}
 	content := s.node.control.content.Load()
@@ -134,7 +134,7 @@
 	}
 	size := 0
 	for _, name := range req.GetNames() {
-		piece, ok := content.Pieces[name]
+		piece, ok := content.Piece(name)
 		if !ok || size+len(piece) > maxPiecesBytes {
 			continue
 		}
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -44,7 +44,8 @@
 	ReadDelay time.Duration
 	// RetryMax is the longest back-off of platform calls.
 	RetryMax time.Duration
-	// FetchTimeout is how long a fetch may take.
+	// FetchTimeout is how long a fetch may take until another source is asked.
+	// An answer that comes later is used all the same.
 	FetchTimeout time.Duration
 	// AvoidFailed and AvoidBad are how long a source is avoided after a failed
 	// fetch and after wrong content.
@@ -68,7 +69,7 @@
 		Readers:          2,
 		ReadDelay:        300 * time.Millisecond,
 		RetryMax:         10 * time.Second,
-		FetchTimeout:     time.Second,
+		FetchTimeout:     300 * time.Millisecond, // several silent peers in a row fit into the bound of 2 s
 		AvoidFailed:      2 * time.Second,
 		AvoidBad:         time.Minute,
 		Settle:           2 * time.Second,
@@ -214,4 +215,19 @@
 	Digest   string
 	Envelope []byte
 	Pieces   map[string][]byte // by name
+	// Replaced are the versions that were in force before, newest first.
+	Replaced []Content
+}
+
+// Piece returns a piece of the content or of one that it replaced lately.
+func (c *Content) Piece(name string) ([]byte, bool) {
+	if piece, ok := c.Pieces[name]; ok {
+		return piece, true
+	}
+	for _, old := range c.Replaced {
+		if piece, ok := old.Pieces[name]; ok {
+			return piece, true
+		}
+	}
+	return nil, false
 }
--- a/internal/rollout/cluster_test.go
+++ b/internal/rollout/cluster_test.go
@@ -258,7 +258,8 @@
 		c.ask(n, a.From, func(peer *node) rollout.Event {
 			pieces := make(map[string][]byte)
 			for _, name := range a.Names {
-				if piece, ok := peer.machine.Content().Pieces[name]; ok {
+				content := peer.machine.Content()
+				if piece, ok := content.Piece(name); ok {
 					c.received += len(piece)
 					pieces[name] = piece
 					if peer.corrupt {
--- a/internal/rollout/fetch.go
+++ b/internal/rollout/fetch.go
@@ -15,6 +15,9 @@
 	// piecesPerFetch bounds the names of one fetch. With pieces of at most
 	// 256 KiB, an answer stays within the 1 MiB of FetchPieces.
 	piecesPerFetch = 4
+	// keptReplaced is how many replaced versions a node still hands out. In a
+	// storm of five versions a second, a peer has a second to fetch the pieces.
+	keptReplaced = 5
 	// platformAfter is after how many failures in a row a node that is no
 	// reader turns to the platform although peers have the version.
 	platformAfter = 3
@@ -28,6 +31,9 @@
 	names        []string
 	pieces       map[string][]byte
 	fromPlatform bool
+	// giver is the source of the envelope. It has the pieces as well, and the
+	// path to it works.
+	giver fleet.NodeID
 }
 
 // fetch is one request in flight.
@@ -83,7 +89,7 @@
 			}
 		}
 	}
-	m.collect(&pending{version: version, digest: digest, envelope: envelope, names: names, fromPlatform: fromPlatform})
+	m.collect(&pending{version: version, digest: digest, envelope: envelope, names: names, fromPlatform: fromPlatform, giver: from})
 }
 
 // collect makes p the version to reach and takes over the pieces that are
@@ -120,12 +126,24 @@
 		m.reject(Platform, p.version, fmt.Errorf("assemble version %d: %w", p.version, err))
 		return
 	}
-	m.inForce = Content{Version: p.version, Digest: p.digest, Envelope: p.envelope, Pieces: p.pieces}
+	m.inForce = Content{Version: p.version, Digest: p.digest, Envelope: p.envelope, Pieces: p.pieces, Replaced: m.replaced()}
 	m.confirmed = p.fromPlatform
 	m.stats.Activations++
 	m.emit(Activate{Bundle: bundle, Version: p.version, Digest: p.digest})
 }
 
+// replaced returns the content in force with the last few before it, for peers
+// that are still collecting one of them.
+func (m *Machine) replaced() []Content {
+	if m.inForce.Version == 0 {
+		return nil
+	}
+	last := m.inForce
+	last.Replaced = nil
+	kept := append([]Content{last}, m.inForce.Replaced...)
+	return kept[:min(len(kept), keptReplaced)]
+}
+
 func (m *Machine) reject(from fleet.NodeID, version uint64, err error) {
 	m.stats.Rejected++
 	if from != Platform {
@@ -194,7 +212,7 @@
 		if len(names) == 0 {
 			return
 		}
-		from := m.pick(func(id fleet.NodeID) bool { return m.nodes[id].BundleVersion >= m.pending.version })
+		from := m.pieceSource()
 		if from == Platform && !m.mayReadPieces() {
 			return
 		}
@@ -207,6 +225,17 @@
 	}
 }
 
+// pieceSource returns the peer to ask for pieces of the pending version: the
+// one that gave the envelope, or another one that has it in force; Platform when
+// there is none.
+func (m *Machine) pieceSource() fleet.NodeID {
+	giver := m.pending.giver
+	if n, ok := m.nodes[giver]; ok && n.Usable() && giver != m.self && !m.now.Before(m.avoid[giver]) {
+		return giver
+	}
+	return m.pick(func(id fleet.NodeID) bool { return m.nodes[id].BundleVersion >= m.pending.version })
+}
+
 // mayReadPieces decides whether pieces are read from the platform now, when no
 // peer can be asked.
 func (m *Machine) mayReadPieces() bool {
@@ -271,15 +300,8 @@
 
 func (m *Machine) piecesReceived(e PiecesReceived) {
 	f := m.finish(e.From, nil, e.Pieces)
-	if f == nil {
-		return
-	}
 	useful := 0
-	for _, name := range f.names {
-		content, ok := e.Pieces[name]
-		if !ok {
-			continue
-		}
+	for name, content := range e.Pieces {
 		sum := sha256.Sum256(content)
 		if hex.EncodeToString(sum[:]) != name {
 			m.reject(e.From, 0, fmt.Errorf("%w: %s", ErrPiece, name))
@@ -298,12 +320,13 @@
 			m.stats.PieceBytesPeers += uint64(len(content))
 		}
 	}
-	if useful == 0 {
+	if useful > 0 {
+		// Also after its timeout, an answer saves another fetch.
+		m.failures = 0
+		m.tryActivate()
+	} else if f != nil {
 		m.sourceFailed(e.From)
-		return
 	}
-	m.failures = 0
-	m.tryActivate()
 }
 
 func (p *pending) wants(name string) bool {
@@ -354,9 +377,24 @@
 	m.stats.FailedFetches++
 	m.failures++
 	m.avoid[from] = m.now.Add(m.jitter(m.cfg.AvoidFailed))
+	if m.otherSource() {
+		m.nextTry = m.now
+		return
+	}
 	m.nextTry = m.now.Add(m.sourceDelay())
 }
 
+// otherSource reports whether a live peer that is not avoided has a version
+// that this node lacks.
+func (m *Machine) otherSource() bool {
+	for _, id := range m.live {
+		if m.nodes[id].BundleVersion > m.inForce.Version && !m.now.Before(m.avoid[id]) {
+			return true
+		}
+	}
+	return false
+}
+
 // expireFetches treats fetches without a result as failed.
 func (m *Machine) expireFetches() {
 	if m.envelope != nil && !m.now.Before(m.envelope.expires) {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -66,6 +66,36 @@
 		Expect(c.received).To(BeNumerically("<", 10*12_000))
 	})
 
+	// Guards against a node that falls behind in a storm of versions because
+	// several peers in a row do not answer: their news arrives, but the paths to
+	// them are cut, and each one cost a whole second.
+	It("keeps the bound for each version of a storm while half of the paths are cut", func() {
+		const bound, gap = 2 * time.Second, 200 * time.Millisecond
+		for seed := range uint64(10) {
+			c := newCluster(20+seed, 19, 4, failSpec)
+			c.run(5 * time.Second)
+			accepted := map[uint64]time.Time{}
+			for version := uint64(1); version <= 60; version++ {
+				if version == 10 {
+					for i := range c.nodes {
+						for j := range c.nodes {
+							c.cut[[2]int{i, j}] = (i+j)%2 == 1 && i%4 == 0
+						}
+					}
+				}
+				roll(c, version, fmt.Sprint("content ", version))
+				accepted[version] = c.now
+				c.run(gap)
+				for _, n := range c.nodes {
+					got, _ := n.machine.InForce()
+					if next, ok := accepted[got+1]; ok {
+						Expect(c.now.Sub(next)).To(BeNumerically("<=", bound), "%s has version %d of %d", n.self.ID, got, version)
+					}
+				}
+			}
+		}
+	})
+
 	It("starts from peers while the platform is unavailable", func() {
 		c := newCluster(3, 10, 2, failSpec)
 		roll(c, 4, "a")
@@ -186,8 +216,8 @@
 	conflicting := envelope{Version: 2, Author: "other"}
 	step(0, rollout.NodeChanged{Node: fleet.Node{ID: "node-0000", DataCentre: "dc-0"}})
 	step(0, rollout.NodeChanged{Node: peer})
+	step(200*time.Millisecond, rollout.EnvelopeReceived{From: peer.ID})
 	step(500*time.Millisecond, rollout.Tick{})
-	step(time.Second, rollout.EnvelopeReceived{From: peer.ID})
 	step(time.Second, rollout.PlatformRead{Envelope: first.encode(), Revision: 7})
 	step(time.Second, rollout.PiecesReceived{Pieces: map[string][]byte{first.Pieces[0]: []byte("a"), first.Pieces[1]: []byte("b")}})
 	step(2*time.Second, rollout.Tick{})
