--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -223,6 +223,11 @@
 	return string(body)
 }
 
+// callers keeps as many connections as a fleet's callers have requests at a
+// time. With the default of two for each node, most requests of a busy moment
+// would open a connection of their own.
+var callers = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+
 type answer struct {
 	status  int
 	outcome string
@@ -241,7 +246,7 @@
 	if req.Header.Get("Siskinvale-Service") == "" {
 		req.Header.Set("Siskinvale-Service", "booking")
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := callers.Do(req)
 	if err != nil {
 		return answer{err: err}
 	}
