--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -56,7 +56,7 @@
 			share.Charge(in.cfg.Clock(), repeated)
 		}
 	}
-	s := series{req: req}
+	s := series{req: req, budget: budget}
 	var failed *link.Reply // a target's answer that says that it failed
 	for {
 		reply := in.attempt(ctx, &s)
@@ -104,8 +104,9 @@
 
 // series is the state of one request's attempts.
 type series struct {
-	req   *request
-	tried []fleet.TargetID
+	req    *request
+	budget budget
+	tried  []fleet.TargetID
 	// hops counts all attempts, dispatched those that may have reached a
 	// target, refusedFor those whose target was in bad standing.
 	hops, dispatched, refusedFor int
@@ -114,6 +115,13 @@
 	paid bool
 }
 
+// final reports whether a failure of the next dispatch could not be followed by
+// a repeat. Finding out whether a target's spell has ended is left to others
+// then.
+func (s *series) final(now time.Time) bool {
+	return !s.req.class.Idempotent || s.dispatched+1 >= s.req.class.Attempts || !s.budget.Available(now)
+}
+
 // last returns what is known of the request as a whole. A target's own answer,
 // even one that says that it failed, tells the caller more than a later refusal.
 func (s *series) last(reply, failed *link.Reply) *link.Reply {
@@ -168,8 +176,9 @@
 	if !ok {
 		return link.Refused(call, "the service has no targets")
 	}
+	call.Final = in.cfg.FreeRefusals && s.final(now)
 	choice, ok := picker.Pick(routing.Request{
-		Idempotent: req.class.Idempotent, LargeAnswer: req.class.LargeAnswer, Bytes: max(req.contentLength, 0), Exclude: s.tried,
+		Idempotent: req.class.Idempotent && !call.Final, LargeAnswer: req.class.LargeAnswer, Bytes: max(req.contentLength, 0), Exclude: s.tried,
 	}, random(), now)
 	if !ok {
 		return link.Refused(call, "no target of the service may receive the request")
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -63,6 +63,7 @@
 	replies []func(call *link.Call) *link.Reply
 	calls   []string
 	bodies  []string
+	finals  []bool
 	// cancelled reports that the last call arrived with a cancelled context.
 	cancelled bool
 }
@@ -73,6 +74,7 @@
 	s.cancelled = errors.Is(ctx.Err(), context.Canceled)
 	body, _ := io.ReadAll(call.Body)
 	s.bodies = append(s.bodies, string(body))
+	s.finals = append(s.finals, call.Final)
 	reply := s.replies[min(len(s.calls), len(s.replies)-1)](call)
 	s.calls = append(s.calls, fmt.Sprintf("%s %s: %s %s", call.Method, call.Path, reply.Outcome, reply.Reason))
 	return reply
@@ -145,15 +147,21 @@
 }
 
 func newSession(replies ...func(*link.Call) *link.Reply) *session {
+	return newSessionWith(func(*ingress.Config) {}, replies...)
+}
+
+func newSessionWith(change func(*ingress.Config), replies ...func(*link.Call) *link.Reply) *session {
 	b, findings := bundle.Parse("test", []byte(testBundle))
 	Expect(findings).To(BeEmpty())
 	logger := logrus.New()
 	logger.SetOutput(GinkgoWriter)
 	s := &session{script: &script{replies: replies}, owners: &owners{}}
-	s.in = ingress.New(ingress.Config{
+	cfg := ingress.Config{
 		Self: "self", Remote: s.script, Owners: s.owners, Log: event.NewLogger(logger, nil),
 		Metrics: metric.NewSet(), Clock: time.Now, InFlight: 100,
-	})
+	}
+	change(&cfg)
+	s.in = ingress.New(cfg)
 	self := fleet.Node{ID: "self", DataCentre: "dc1"}
 	nodes := map[fleet.NodeID]fleet.Node{}
 	var targets []fleet.Target
@@ -252,6 +260,23 @@
 		Expect(len(s.script.calls)).To(BeNumerically("<=", requests+requests/10+10))
 	})
 
+	// Guards against idempotent work that is lost because its last attempt, or an
+	// attempt without a budget for another one, tests a target in a spell of
+	// failures.
+	It("marks attempts that cannot be followed by a repeat as final", func() {
+		repeats := func(allowance float64) func(*ingress.Config) {
+			return func(c *ingress.Config) {
+				c.FreeRefusals, c.Repeats = true, ingress.Repeats{Allowance: allowance, Window: 10 * time.Second}
+			}
+		}
+		s := newSessionWith(repeats(30), doubtful("connection lost"), doubtful("connection lost"), answered("ok"))
+		Expect(s.send("GET", "/kits/1", "").Code).To(Equal(200))
+		Expect(s.script.finals).To(Equal([]bool{false, false, true}))
+		s = newSessionWith(repeats(0), doubtful("connection lost"), answered("ok"))
+		s.send("GET", "/kits/1", "")
+		Expect(s.script.finals).To(Equal([]bool{true}))
+	})
+
 	It("explains malformed requests", func() {
 		s := newSession(answered("ok"))
 		for _, c := range []struct {
--- a/internal/ingress/limit.go
+++ b/internal/ingress/limit.go
@@ -103,6 +103,8 @@
 type budget interface {
 	retry.Withdrawer
 	Deposit(now time.Time)
+	// Available reports whether Withdraw would succeed.
+	Available(now time.Time) bool
 	// Refund returns a repeat that was not made.
 	Refund(now time.Time)
 }
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -37,6 +37,9 @@
 	Repeat bool
 	// Prompt asks the sidecar to refuse the call unless a slot is free now.
 	Prompt bool
+	// Final marks a call whose failure could not be followed by a repeat, so that
+	// only a target in good standing should run it.
+	Final bool
 	// Insist asks the sidecar to run the call although the target is in bad
 	// standing, because the ingress found nothing better.
 	Insist bool
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -40,6 +40,7 @@
 	headerInsist       = "Siskinvale-Insist"
 	headerRepeat       = "Siskinvale-Repeat"
 	headerPrompt       = "Siskinvale-Prompt"
+	headerFinal        = "Siskinvale-Final"
 	headerHost         = "Siskinvale-Host"
 
 	headerReason       = "Siskinvale-Reason"
@@ -112,6 +113,9 @@
 	if c.Prompt {
 		h.Set(headerPrompt, "1")
 	}
+	if c.Final {
+		h.Set(headerFinal, "1")
+	}
 	if c.Insist {
 		h.Set(headerInsist, "1")
 	}
@@ -140,6 +144,7 @@
 		Host:          h.Get(headerHost),
 		Repeat:        h.Get(headerRepeat) != "",
 		Prompt:        h.Get(headerPrompt) != "",
+		Final:         h.Get(headerFinal) != "",
 		Insist:        h.Get(headerInsist) != "",
 		Header:        make(http.Header, len(h)),
 		Body:          r.Body,
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -62,6 +62,12 @@
 	}
 }
 
+// Available reports whether the budget allows one more retry.
+func (b *Budget) Available(now time.Time) bool {
+	b.payMinimum(now)
+	return b.credit.Load() >= scale
+}
+
 // Refund returns a retry that was not made.
 func (b *Budget) Refund(time.Time) { b.add(scale) }
 
--- a/internal/retry/share.go
+++ b/internal/retry/share.go
@@ -54,6 +54,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.slot(now)
+	if !s.allows(current) {
+		return false
+	}
+	current.repeats++
+	return true
+}
+
+// Available reports whether the share allows one more repeat.
+func (s *Share) Available(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allows(s.slot(now))
+}
+
+// allows reports whether one more repeat fits into the window that ends with
+// current.
+func (s *Share) allows(current *shareSlot) bool {
 	requests, repeats := 0, 0.0
 	for i := range s.slots {
 		if current.epoch-s.slots[i].epoch < shareBuckets {
@@ -61,11 +78,7 @@
 			repeats += s.slots[i].repeats
 		}
 	}
-	if repeats+1 > s.ratio*float64(requests)+s.allowance {
-		return false
-	}
-	current.repeats++
-	return true
+	return repeats+1 <= s.ratio*float64(requests)+s.allowance
 }
 
 // Refund returns a repeat that was not made.
--- a/internal/sidecar/dialect.go
+++ b/internal/sidecar/dialect.go
@@ -23,6 +23,9 @@
 const (
 	// Executed: the answer is the one to the request.
 	Executed Judgement = iota
+	// OutOfTime: the answer is the one to the request, and says that the target
+	// ended the work because the time it was given was over.
+	OutOfTime
 	// Shed: the target states that it did not run the request.
 	Shed
 	// OtherTarget: another target has the address; it did not run the request.
--- a/internal/sidecar/evidence.go
+++ b/internal/sidecar/evidence.go
@@ -22,6 +22,9 @@
 	// shed work was not run. Its target says so, so that nothing is lost by
 	// sending it there, and its peers may shed as well.
 	shed
+	// expired work took longer than it was given. The target is alive and says
+	// so; whether it is slow shows in the comparison with its peers.
+	expired
 )
 
 // lateFactor is how many times its usual run time work may take before its
@@ -103,7 +106,7 @@
 	case completed:
 		c.completed++
 		c.observe(w.waited)
-	case failed:
+	case failed, expired:
 		c.failed++
 	case truncated:
 		c.truncated++
--- a/internal/sidecar/standing_test.go
+++ b/internal/sidecar/standing_test.go
@@ -30,6 +30,8 @@
 		return sidecar.Shed
 	case "foreign":
 		return sidecar.Foreign
+	case "out of time":
+		return sidecar.OutOfTime
 	default:
 		return sidecar.Executed
 	}
@@ -118,6 +120,26 @@
 		Expect(send(false).BadStanding).To(BeTrue())
 	})
 
+	// Guards against a target that loses its standing because callers leave it
+	// too little time.
+	It("keeps the standing of a target that ends work at its deadline", func() {
+		status.Store(504)
+		judge.Store("out of time")
+		for range 3 {
+			Expect(send(false).Status).To(Equal(504))
+		}
+		Expect(send(false).BadStanding).To(BeFalse())
+	})
+
+	// Guards against idempotent work that tests a target although nothing could
+	// follow its failure.
+	It("treats a final call like one that may run only once", func() {
+		status.Store(500)
+		Expect(send(true).Status).To(Equal(500))
+		Expect(send(true, func(c *link.Call) { c.Final = true }).BadStanding).To(BeTrue())
+		Expect(send(true).BadStanding).To(BeFalse())
+	})
+
 	// Guards against a call that waits in a queue although another target is
 	// free.
 	It("refuses a prompt call without a free slot", func() {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -113,9 +113,9 @@
 		t.logRefused(call, reply)
 		return reply
 	}
-	// The target may have failed while the call waited. An idempotent call was
+	// The target may have failed while the call waited. A call that may fail was
 	// counted as a probe already and goes on.
-	if call.Terms != nil && !call.Terms.Idempotent && !t.mayRun(call) {
+	if !mayFail(call) && !t.mayRun(call) {
 		release()
 		return t.refuseForStanding(call)
 	}
@@ -165,12 +165,17 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.standing.Admit(t.clock(), call.Terms.Idempotent)
+	return t.standing.Admit(t.clock(), mayFail(call))
+}
+
+// mayFail reports whether a failure of the call can be followed by a repeat.
+func mayFail(call *link.Call) bool {
+	return call.Terms != nil && call.Terms.Idempotent && !call.Final
 }
 
 // judge counts an outcome for the target's standing and logs a change of it.
 func (t *target) judge(call *link.Call, outcome workOutcome, detail string) {
-	if t.dialect == nil || outcome == cancelled || outcome == shed {
+	if t.dialect == nil || outcome == cancelled || outcome == shed || outcome == expired {
 		return
 	}
 	t.mu.Lock()
@@ -235,8 +240,10 @@
 		end(outcomeOf(ctx, err), err.Error())
 		return failedReply(ctx, call, err, sent.Sent())
 	}
+	judgement := Executed
 	if t.dialect != nil {
-		if reply := t.unexecuted(call, resp, &sent, end); reply != nil {
+		judgement = t.dialect.Judge(resp, *t.record(), call)
+		if reply := t.unexecuted(call, judgement, resp, &sent, end); reply != nil {
 			return reply
 		}
 	} else if !framed(resp, req.Method) {
@@ -249,21 +256,25 @@
 		AttemptID: call.AttemptID, Outcome: fleet.Answered, Sent: true,
 		Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength,
 		Body: &endBody{ReadCloser: &workBody{ReadCloser: resp.Body, target: t, work: work}, end: func(err error) {
-			end(outcomeOfBody(ctx, resp.StatusCode, err), "status "+strconv.Itoa(resp.StatusCode))
+			outcome := outcomeOfBody(ctx, resp.StatusCode, err)
+			if outcome == failed && judgement == OutOfTime {
+				outcome = expired
+			}
+			end(outcome, "status "+strconv.Itoa(resp.StatusCode))
 		}},
 	}
 }
 
 // unexecuted returns the reply to a call whose answer's header says that it is
 // not the answer to the request, else nil.
-func (t *target) unexecuted(call *link.Call, resp *http.Response, sent *link.SentTrace, end func(workOutcome, string)) *link.Reply {
+func (t *target) unexecuted(call *link.Call, judgement Judgement, resp *http.Response, sent *link.SentTrace, end func(workOutcome, string)) *link.Reply {
 	refused := func(reason string) *link.Reply {
 		resp.Body.Close()
 		reply := link.Refused(call, reason)
 		reply.Dispatched = true
 		return reply
 	}
-	switch t.dialect.Judge(resp, *t.record(), call) {
+	switch judgement {
 	case Shed:
 		end(shed, "")
 		return refused(reasonShed)
