--- a/internal/admission/api.go
+++ b/internal/admission/api.go
@@ -18,6 +18,8 @@
 	Tenant   string
 	Priority fleet.Priority
 	Length   fleet.Length
+	// Aim is when the answer loses most of its value; zero means never.
+	Aim time.Time
 	// Deadline is when the answer becomes useless; zero means never.
 	Deadline time.Time
 	// Expected is the usual run time of the class; run times that the Queue
@@ -88,9 +90,11 @@
 	ReasonDraining
 	// ReasonCancelled: the caller went away before the item was started.
 	ReasonCancelled
+	// ReasonOverdue: the item missed its aim and waited for a lull in vain.
+	ReasonOverdue
 )
 
-var reasonNames = [...]string{"deadline", "expired", "full", "draining", "cancelled"}
+var reasonNames = [...]string{"deadline", "expired", "full", "draining", "cancelled", "overdue"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -100,6 +100,7 @@
 type Queue struct {
 	cfg      Config
 	lanes    [4]lane // by length and priority
+	overdue  overdue
 	items    map[uint64]*entry
 	running  int
 	long     int // running long items
@@ -117,6 +118,7 @@
 	Item
 	arrived, started time.Time
 	running          bool
+	overdue          bool
 	order            uint64
 	expected         time.Duration // at arrival
 }
@@ -136,11 +138,11 @@
 
 // Step applies ev at now and returns the decisions that follow from it.
 func (q *Queue) Step(now time.Time, ev Event) []Action {
-	var actions []Action
+	actions := q.sortOut(now)
 	switch ev := ev.(type) {
 	case Arrive:
 		if refusal, ok := q.refuse(now, ev.Item); ok {
-			return []Action{refusal}
+			return append(actions, refusal)
 		}
 		q.enqueue(now, ev.Item)
 	case Finish:
@@ -150,7 +152,7 @@
 	case Drain:
 		q.draining = true
 	case Tick:
-		actions = q.expire(now)
+		actions = append(actions, q.expire(now)...)
 	}
 	return append(actions, q.start(now)...)
 }
@@ -209,6 +211,9 @@
 		}
 	}
 	work := float64(occupied) + float64(ahead)
+	if q.misses(now, item) {
+		work += float64(q.overdue.work)
+	}
 	other := &q.lanes[int(item.Length)*2+1-int(item.Priority)]
 	part := 1 / float64(q.cfg.BackgroundEvery)
 	if item.Priority == fleet.Interactive {
@@ -244,7 +249,11 @@
 	q.order++
 	e := &entry{Item: item, arrived: now, order: q.order, expected: q.expected(item)}
 	q.items[item.ID] = e
-	q.lane(item).push(e)
+	if q.misses(now, item) {
+		q.overdue.push(e)
+	} else {
+		q.lane(item).push(e)
+	}
 	if item.Length == fleet.Short {
 		q.demand.add(now, e.expected)
 	}
@@ -281,8 +290,7 @@
 	case e.running:
 		q.release(e)
 	default:
-		q.lane(e.Item).remove(e)
-		delete(q.items, id)
+		q.drop(e)
 	}
 }
 
@@ -354,12 +362,16 @@
 	}
 	// Long work has slots of its own up to its limit, so it goes first there;
 	// otherwise steady short work would starve it.
-	if q.long < q.longLimit(now) {
+	mayBeLong := q.long < q.longLimit(now)
+	if mayBeLong {
 		if e := q.byPriority(now, fleet.Long); e != nil {
 			return e
 		}
 	}
-	return q.byPriority(now, fleet.Short)
+	if e := q.byPriority(now, fleet.Short); e != nil {
+		return e
+	}
+	return q.overdue.take(mayBeLong)
 }
 
 func (q *Queue) byPriority(now time.Time, length fleet.Length) *entry {
@@ -403,6 +415,9 @@
 func (q *Queue) Load(time.Time) fleet.Load {
 	l := fleet.Load{InFlight: q.running, Queued: len(q.items) - q.running, Slots: q.cfg.Slots}
 	for _, e := range q.items {
+		if e.overdue && !e.running {
+			continue // new work goes before it
+		}
 		if e.Length == fleet.Short || q.cfg.Discipline == FIFO {
 			l.QueuedWork += e.expected
 		}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -224,7 +224,7 @@
 func (r *request) call(now time.Time) *link.Call {
 	return &link.Call{
 		AttemptID: newID(), RequestID: r.id, Service: r.service, Class: r.class.Name, Tenant: r.tenant,
-		ReceivedAt: r.received, Timeout: r.deadline.Sub(now),
+		ReceivedAt: r.received, Timeout: r.deadline.Sub(now), Aim: r.aim(now),
 		Method: r.method, Host: r.host, Path: r.path, Header: r.header,
 		Terms: &link.Terms{
 			Priority: r.class.Priority, Length: r.class.Length, Idempotent: r.class.Idempotent, Expected: r.class.Expected.Std(),
@@ -233,6 +233,15 @@
 	}
 }
 
+// aim is the time left until the class's objective, at least the shortest time
+// that can be sent; 0 without an objective.
+func (r *request) aim(now time.Time) time.Duration {
+	if r.class.Objective <= 0 {
+		return 0
+	}
+	return max(r.received.Add(r.class.Objective.Std()).Sub(now), time.Microsecond)
+}
+
 // outcomeOfRefusal is what a refusal by this ingress proves. For a keyed
 // operation it says nothing about earlier requests with the same key, unless
 // the caller states that there were none.
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -29,6 +29,9 @@
 	ReceivedAt time.Time
 	// Timeout is the time left when the call was sent.
 	Timeout time.Duration
+	// Aim is the time that was left until the answer loses most of its value; 0
+	// when the class has no objective.
+	Aim time.Duration
 
 	// Terms are the rules of the request's class; nil when the sidecar is to
 	// look them up in its own bundle.
@@ -79,6 +82,9 @@
 	// BadStanding reports that the sidecar refused because its target failed
 	// lately.
 	BadStanding bool
+	// Busy reports that the sidecar refused a prompt call because no slot was
+	// free; the call could still wait for one there.
+	Busy bool
 	// PathFailed reports that the connection failed, not the target.
 	PathFailed bool
 	// Misrouted reports that the sidecar does not have the target or does not
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -33,6 +33,7 @@
 	headerEpoch        = "Siskinvale-Epoch"
 	headerReceivedAt   = "Siskinvale-Received-At"
 	headerTimeLeft     = "Siskinvale-Time-Left"
+	headerAim          = "Siskinvale-Aim"
 	headerMethod       = "Siskinvale-Method"
 	headerPath         = "Siskinvale-Path"
 	headerOperationKey = "Siskinvale-Operation-Key"
@@ -49,6 +50,7 @@
 	headerMismatch     = "Siskinvale-Key-Mismatch"
 	headerUndispatched = "Siskinvale-Undispatched"
 	headerDispatched   = "Siskinvale-Dispatched"
+	headerBusy         = "Siskinvale-Busy"
 	headerStanding     = "Siskinvale-Bad-Standing"
 	headerNotRunUntil  = "Siskinvale-Not-Run-Until"
 	headerRetry        = "Siskinvale-Retry-After"
@@ -101,6 +103,9 @@
 	h.Set(headerPath, c.Path)
 	h.Set(headerTimeLeft, strconv.FormatInt(c.Timeout.Microseconds(), 10))
 	h.Set(headerReceivedAt, strconv.FormatInt(c.ReceivedAt.UnixMilli(), 10))
+	if c.Aim != 0 {
+		h.Set(headerAim, strconv.FormatInt(c.Aim.Microseconds(), 10))
+	}
 	if c.Host != "" {
 		h.Set(headerHost, c.Host)
 	}
@@ -165,6 +170,13 @@
 		return nil, fmt.Errorf("%s: %w", headerTimeLeft, err)
 	}
 	c.Timeout = time.Duration(left) * time.Microsecond
+	if text := h.Get(headerAim); text != "" {
+		aim, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", headerAim, err)
+		}
+		c.Aim = time.Duration(aim) * time.Microsecond
+	}
 	received, err := strconv.ParseInt(h.Get(headerReceivedAt), 10, 64)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", headerReceivedAt, err)
@@ -211,6 +223,9 @@
 	if r.BadStanding {
 		h.Set(headerStanding, "1")
 	}
+	if r.Busy {
+		h.Set(headerBusy, "1")
+	}
 	if r.Undispatched {
 		h.Set(headerUndispatched, "1")
 	}
@@ -242,6 +257,7 @@
 		Undispatched:  h.Get(headerUndispatched) != "",
 		Dispatched:    h.Get(headerDispatched) != "",
 		BadStanding:   h.Get(headerStanding) != "",
+		Busy:          h.Get(headerBusy) != "",
 		RetryAfter:    time.Duration(retry) * time.Millisecond,
 		Load:          parseLoad(h.Get(headerLoad)),
 		Sent:          true,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -259,10 +259,14 @@
 	if t := call.Terms; t != nil && s.dialect != nil {
 		// The ingress decided by its own version of the configuration, which
 		// may be newer than the one here.
-		return admission.Item{
+		item := admission.Item{
 			Class: call.Class, Tenant: call.Tenant, Priority: t.Priority, Length: t.Length,
 			Deadline: s.clock().Add(call.Timeout), Expected: t.Expected, Weight: 1,
-		}, ""
+		}
+		if call.Aim > 0 {
+			item.Aim = s.clock().Add(call.Aim)
+		}
+		return item, ""
 	}
 	if b == nil {
 		return admission.Item{}, reasonNoBundle
