--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -106,7 +107,9 @@
 type series struct {
 	req    *request
 	budget budget
-	tried  []fleet.TargetID
+	// tried are the targets that were asked, busy those of them that had no
+	// free slot when they were asked for one.
+	tried, busy []fleet.TargetID
 	// hops counts all attempts, dispatched those that may have reached a
 	// target, refusedFor those whose target was in bad standing.
 	hops, dispatched, refusedFor int
@@ -115,6 +118,17 @@
 	paid bool
 }
 
+// exclude returns the targets that are not asked again. A call that may wait
+// can also go to a target that was busy when it was asked for a free slot:
+// otherwise, the few targets of a small service would be used up by such
+// questions, and the request refused although it could wait its turn.
+func (s *series) exclude(prompt bool) []fleet.TargetID {
+	if prompt || len(s.busy) == 0 {
+		return s.tried
+	}
+	return slices.DeleteFunc(slices.Clone(s.tried), func(id fleet.TargetID) bool { return slices.Contains(s.busy, id) })
+}
+
 // final reports whether a failure of the next dispatch could not be followed by
 // a repeat. Finding out whether a target's spell has ended is left to others
 // then.
@@ -176,9 +190,10 @@
 	if !ok {
 		return link.Refused(call, "the service has no targets")
 	}
+	call.Prompt = in.cfg.FreeRefusals && s.hops <= promptHops
 	call.Final = in.cfg.FreeRefusals && s.final(now)
 	choice, ok := picker.Pick(routing.Request{
-		Idempotent: req.class.Idempotent && !call.Final, LargeAnswer: req.class.LargeAnswer, Bytes: max(req.contentLength, 0), Exclude: s.tried,
+		Idempotent: req.class.Idempotent && !call.Final, LargeAnswer: req.class.LargeAnswer, Bytes: max(req.contentLength, 0), Exclude: s.exclude(call.Prompt),
 	}, random(), now)
 	if !ok {
 		return link.Refused(call, "no target of the service may receive the request")
@@ -186,10 +201,10 @@
 	endpoint := choice.Target
 	target := endpoint.Target()
 	s.tried = append(s.tried, target.ID)
+	s.busy = slices.DeleteFunc(s.busy, func(id fleet.TargetID) bool { return id == target.ID })
 	call.Target = target.ID
 	call.Repeat = s.dispatched > 0
 	call.Insist = s.refusedFor >= insistAfter
-	call.Prompt = in.cfg.FreeRefusals && s.hops <= promptHops
 	// The limit ends with the first byte of the answer, so that it cannot cut a
 	// long answer.
 	ctx, cancel := context.WithCancel(ctx)
@@ -203,6 +218,9 @@
 	if reply.BadStanding {
 		s.refusedFor++
 	}
+	if reply.Busy {
+		s.busy = append(s.busy, target.ID)
+	}
 	if reply.PathFailed {
 		endpoint.PathFailed(in.cfg.Clock())
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -277,6 +277,22 @@
 		Expect(s.script.finals).To(Equal([]bool{true}))
 	})
 
+	// Guards against a small service whose targets are used up by questions for
+	// a free slot: the pattern "all targets busy".
+	It("waits at a busy target after asking for free slots", func() {
+		busy := func(c *link.Call) *link.Reply {
+			r := refused("no slot is free")(c)
+			r.Busy = true
+			return r
+		}
+		s := newSessionWith(func(c *ingress.Config) { c.FreeRefusals = true }, busy, busy, busy, answered("ok"))
+		Expect(s.send("GET", "/kits/1", "").Code).To(Equal(200))
+		Expect(s.script.calls).To(HaveLen(4))
+		s = newSessionWith(func(c *ingress.Config) { c.FreeRefusals = true }, busy, busy, busy, refused("full"), refused("full"), refused("full"), answered("ok"))
+		Expect(s.send("GET", "/kits/1", "").Code).To(Equal(503))
+		Expect(s.script.calls).To(HaveLen(6))
+	})
+
 	It("explains malformed requests", func() {
 		s := newSession(answered("ok"))
 		for _, c := range []struct {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -110,6 +110,7 @@
 	release, err := t.enter(ctx, call, item)
 	if err != nil {
 		reply := refusedReply(call, err, t.load())
+		reply.Busy = errors.Is(err, errBusy)
 		t.logRefused(call, reply)
 		return reply
 	}
