--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -52,11 +52,7 @@
 	}
 	budget := in.budgets.of(req.service, req.class.Name)
 	budget.Deposit(in.cfg.Clock())
-	if share, ok := budget.(*retry.Share); ok && in.cfg.RepeatedShare != nil {
-		if repeated := in.cfg.RepeatedShare(); repeated > 0 {
-			share.Charge(in.cfg.Clock(), repeated)
-		}
-	}
+	in.chargeNested(req, budget)
 	s := series{req: req, budget: budget}
 	var failed *link.Reply // a target's answer that says that it failed
 	for {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -60,9 +60,9 @@
 	// refusals count neither as attempts nor against the budget of repeats.
 	// Without it, a refusal counts like an attempt.
 	FreeRefusals bool
-	// RepeatedShare is the part of the runs at the targets of this VM that are
-	// repeats; the calls that they make count as repeats. Nil stands for none.
-	RepeatedShare func() float64
+	// LocalRuns tells what the targets of this VM run; nil when their calls need
+	// not be told from requests of callers.
+	LocalRuns func() LocalRuns
 	// Repeats bounds the repeats of the whole fleet; the zero value selects a
 	// budget for each class of this node.
 	Repeats Repeats
@@ -76,6 +76,7 @@
 	tenants  *tenantLimiter
 	budgets  *budgets
 	paths    *pathEvidence
+	nested   nestedClasses
 	door     door
 	// closed refuses new requests, because the node is about to end.
 	closed atomic.Bool
@@ -86,7 +87,7 @@
 
 // New returns an ingress that refuses all requests until SetView is called.
 func New(cfg Config) *Ingress {
-	in := &Ingress{cfg: cfg, tenants: newTenantLimiter(), budgets: newBudgets(cfg.Repeats), paths: newPathEvidence()}
+	in := &Ingress{cfg: cfg, tenants: newTenantLimiter(), budgets: newBudgets(cfg.Repeats, cfg.Clock), paths: newPathEvidence()}
 	in.view.Store(&View{})
 	in.door = ownDoor{in}
 	if cfg.Door != nil {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -264,12 +264,12 @@
 	// attempt without a budget for another one, tests a target in a spell of
 	// failures.
 	It("marks attempts that cannot be followed by a repeat as final", func() {
-		repeats := func(allowance float64) func(*ingress.Config) {
+		repeats := func(ratio float64) func(*ingress.Config) {
 			return func(c *ingress.Config) {
-				c.FreeRefusals, c.Repeats = true, ingress.Repeats{Allowance: allowance, Window: 10 * time.Second}
+				c.FreeRefusals, c.Repeats = true, ingress.Repeats{Ratio: ratio, Window: 10 * time.Second}
 			}
 		}
-		s := newSessionWith(repeats(30), doubtful("connection lost"), doubtful("connection lost"), answered("ok"))
+		s := newSessionWith(repeats(5), doubtful("connection lost"), doubtful("connection lost"), answered("ok"))
 		Expect(s.send("GET", "/kits/1", "").Code).To(Equal(200))
 		Expect(s.script.finals).To(Equal([]bool{false, false, true}))
 		s = newSessionWith(repeats(0), doubtful("connection lost"), answered("ok"))
@@ -277,6 +277,32 @@
 		Expect(s.script.finals).To(Equal([]bool{true}))
 	})
 
+	// Guards against a budget that is charged for requests of callers, and against
+	// calls of repeated runs that are not charged: the pattern "a repeat makes its
+	// calls again".
+	It("charges the budget for calls of repeated runs alone", func() {
+		running := int64(0)
+		s := newSessionWith(func(c *ingress.Config) {
+			c.FreeRefusals, c.Repeats = true, ingress.Repeats{Ratio: 1, Window: 10 * time.Second}
+			c.LocalRuns = func() ingress.LocalRuns { return ingress.LocalRuns{Running: running, Repeated: 1} }
+		}, doubtful("connection lost"))
+		attempts := func() int {
+			before := len(s.script.calls)
+			s.send("GET", "/kits/1", "")
+			return len(s.script.calls) - before
+		}
+		running = 1
+		for range 5 {
+			Expect(attempts()).To(Equal(1), "a call of a repeated run costs what its request brings")
+		}
+		running = 0
+		for range 40 {
+			attempts()
+		}
+		running = 1
+		Expect(attempts()).To(BeNumerically(">", 1), "the class is one of callers")
+	})
+
 	// Guards against a small service whose targets are used up by questions for
 	// a free slot: the pattern "all targets busy".
 	It("waits at a busy target after asking for free slots", func() {
--- a/internal/ingress/limit.go
+++ b/internal/ingress/limit.go
@@ -93,6 +93,7 @@
 // budgets holds one retry budget for each class.
 type budgets struct {
 	repeats Repeats
+	began   time.Time
 	nodes   atomic.Int64
 	byClass sync.Map // budgetKey -> budget
 }
@@ -118,11 +119,13 @@
 }
 
 // repeatsMargin is the part of the fleet's budget that is used. The rest covers
-// nodes that do not know of each other for a while and repeats that targets
-// cause by their own calls.
-const repeatsMargin = 0.7
+// nodes that do not know of each other for a while and calls of repeated runs
+// that are counted only on average.
+const repeatsMargin = 0.85
 
-func newBudgets(r Repeats) *budgets { return &budgets{repeats: r} }
+func newBudgets(r Repeats, clock func() time.Time) *budgets {
+	return &budgets{repeats: r, began: clock()}
+}
 
 // divide tells how many nodes share the allowance.
 func (b *budgets) divide(nodes int) {
@@ -151,7 +154,7 @@
 	}
 	var fresh budget = retry.NewBudget(retryRatio, retriesPerSecond)
 	if b.repeats.Window > 0 {
-		fresh = retry.NewShare(repeatsMargin*b.repeats.Ratio, b.allowance(), b.repeats.Window)
+		fresh = retry.NewShare(repeatsMargin*b.repeats.Ratio, b.allowance(), b.repeats.Window, b.began)
 	}
 	found, _ := b.byClass.LoadOrStore(key, fresh)
 	return found.(budget)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,7 +103,9 @@
 	if adapter != nil {
 		n.sidecar.Speak(adapter.Dialect(), n.log)
 		ingressConfig.Door, ingressConfig.FreeRefusals = adapter.Door(), true
-		ingressConfig.RepeatedShare = n.sidecar.RepeatedShare
+		ingressConfig.LocalRuns = func() ingress.LocalRuns {
+			return ingress.LocalRuns{Running: n.sidecar.Running(), Repeated: n.sidecar.RepeatedShare()}
+		}
 	}
 	if r := s.Repeats; r != nil {
 		ingressConfig.Repeats = ingress.Repeats{Ratio: r.Ratio, Allowance: r.Allowance, Window: r.Window}
--- a/internal/retry/share.go
+++ b/internal/retry/share.go
@@ -15,6 +15,7 @@
 type Share struct {
 	ratio  float64
 	window time.Duration
+	began  time.Time
 
 	mu        sync.Mutex
 	allowance float64
@@ -29,9 +30,11 @@
 }
 
 // NewShare returns a share of ratio repeats for each request and allowance
-// repeats on top, in each window.
-func NewShare(ratio, allowance float64, window time.Duration) *Share {
-	return &Share{ratio: ratio, allowance: allowance, window: window}
+// repeats on top, in each window. The allowance grows to its full size within
+// the first window after began, the start of the process: what its predecessor
+// used up before a restart is not known.
+func NewShare(ratio, allowance float64, window time.Duration, began time.Time) *Share {
+	return &Share{ratio: ratio, allowance: allowance, window: window, began: began}
 }
 
 // SetAllowance replaces the allowance, for example when the number of nodes
@@ -54,7 +57,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.slot(now)
-	if !s.allows(current) {
+	if !s.allows(current, now) {
 		return false
 	}
 	current.repeats++
@@ -65,12 +68,12 @@
 func (s *Share) Available(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.allows(s.slot(now))
+	return s.allows(s.slot(now), now)
 }
 
 // allows reports whether one more repeat fits into the window that ends with
 // current.
-func (s *Share) allows(current *shareSlot) bool {
+func (s *Share) allows(current *shareSlot, now time.Time) bool {
 	requests, repeats := 0, 0.0
 	for i := range s.slots {
 		if current.epoch-s.slots[i].epoch < shareBuckets {
@@ -78,7 +81,8 @@
 			repeats += s.slots[i].repeats
 		}
 	}
-	return repeats+1 <= s.ratio*float64(requests)+s.allowance
+	grown := min(max(now.Sub(s.began).Seconds()/s.window.Seconds(), 0), 1)
+	return repeats+1 <= s.ratio*float64(requests)+s.allowance*grown
 }
 
 // Refund returns a repeat that was not made.
--- a/internal/retry/share_test.go
+++ b/internal/retry/share_test.go
@@ -19,7 +19,7 @@
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			ratio := rapid.Float64Range(0, 0.5).Draw(t, "ratio")
 			allowance := rapid.Float64Range(0, 10).Draw(t, "allowance")
-			s := retry.NewShare(ratio, allowance, window)
+			s := retry.NewShare(ratio, allowance, window, start.Add(-window))
 			type mark struct {
 				at                time.Time
 				requests, repeats int
@@ -61,9 +61,29 @@
 		})
 	})
 
+	// Guards against nodes that spend their allowance twice in a window because
+	// all of them were restarted in it: the pattern "all processes killed".
+	It("keeps the allowance over a restart", func() {
+		const allowance = 20.0
+		for _, restart := range []time.Duration{0, window / 4, window / 2, 3 * window / 4} {
+			spent := 0
+			before := retry.NewShare(0, allowance, window, start.Add(-window))
+			for before.Withdraw(start) {
+				spent++
+			}
+			after := retry.NewShare(0, allowance, window, start.Add(restart))
+			for at := restart; at < window; at += window / 100 {
+				for after.Withdraw(start.Add(at)) {
+					spent++
+				}
+			}
+			Expect(float64(spent)).To(BeNumerically("<=", allowance*(2-restart.Seconds()/window.Seconds())))
+		}
+	})
+
 	// Guards against calls of repeated runs that exceed the budget unseen.
 	It("counts charged repeats and returns refunded ones", func() {
-		s := retry.NewShare(0, 2, window)
+		s := retry.NewShare(0, 2, window, start.Add(-window))
 		Expect(s.Withdraw(start)).To(BeTrue())
 		s.Refund(start)
 		s.Charge(start, 1.5)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -50,9 +50,9 @@
 	inFlight atomic.Int64
 	// changed is set when the standing of a target changed.
 	changed atomic.Bool
-	// runs counts the idempotent runs at local targets, repeats those of them
-	// that are repeats.
-	runs, repeats atomic.Int64
+	// running counts the runs at local targets, idempotent those that may be
+	// repeated, and repeats those that are repeats.
+	running, idempotent, repeats atomic.Int64
 
 	mu      sync.RWMutex
 	targets map[fleet.TargetID]*target
@@ -67,27 +67,32 @@
 // refuses and what fails. It must be called before the first target is set.
 func (s *Sidecar) Speak(d Dialect, log *event.Logger) { s.dialect, s.log = d, log }
 
+// Running is the number of runs at local targets.
+func (s *Sidecar) Running() int64 { return s.running.Load() }
+
 // RepeatedShare is the part of the idempotent runs at local targets that are
-// repeats. Calls that targets make meanwhile are repeats in the same proportion.
+// repeats.
 func (s *Sidecar) RepeatedShare() float64 {
 	repeats := s.repeats.Load()
 	if repeats <= 0 {
 		return 0
 	}
-	return min(float64(repeats)/float64(max(s.runs.Load(), 1)), 1)
+	return min(float64(repeats)/float64(max(s.idempotent.Load(), 1)), 1)
 }
 
 // count follows a run at a local target until the returned function is called.
 func (s *Sidecar) count(call *link.Call) (ended func()) {
+	s.running.Add(1)
 	if call.Terms == nil || !call.Terms.Idempotent {
-		return func() {}
+		return func() { s.running.Add(-1) }
 	}
-	s.runs.Add(1)
+	s.idempotent.Add(1)
 	if call.Repeat {
 		s.repeats.Add(1)
 	}
 	return func() {
-		s.runs.Add(-1)
+		s.running.Add(-1)
+		s.idempotent.Add(-1)
 		if call.Repeat {
 			s.repeats.Add(-1)
 		}
