--- a/internal/admission/api.go
+++ b/internal/admission/api.go
@@ -18,6 +18,9 @@
 	Tenant   string
 	Priority fleet.Priority
 	Length   fleet.Length
+	// Nested marks work that a running request waits for. It starts before all
+	// other work.
+	Nested bool
 	// Aim is when the answer loses most of its value; zero means never.
 	Aim time.Time
 	// Deadline is when the answer becomes useless; zero means never.
--- a/internal/admission/overdue_test.go
+++ b/internal/admission/backlog_test.go
@@ -13,20 +13,20 @@
 	"siskinvale.dev/siskinvale/internal/fleet"
 )
 
-// backlog is one run of the pattern "a backlog after an outage": for two
+// outage is one run of the pattern "a backlog after an outage": for two
 // seconds twice as much work arrives as the target can do, afterwards nine
 // tenths of it.
-type backlog struct {
+type outage struct {
 	// aim is when an answer counts as on time, stated says whether the queue is
 	// told.
 	aim    time.Duration
 	stated bool
 }
 
-type backlogResult struct{ offered, onTime, answered, refused int }
+type outageResult struct{ offered, onTime, answered, refused int }
 
 // run counts the requests that arrive between the second and the eighth second.
-func (b backlog) run(seed uint64) (r backlogResult) {
+func (b outage) run(seed uint64) (r outageResult) {
 	const slots, mean, deadline = 4, 300 * ms, 4 * time.Second
 	q := admission.New(admission.Config{Slots: slots})
 	random := rand.New(rand.NewPCG(seed, 3))
@@ -95,13 +95,32 @@
 	// the users' target for heavy days: half of the credit in the worst seconds.
 	It("lets new work be on time behind a backlog", func() {
 		for seed := range uint64(10) {
-			with := backlog{aim: time.Second, stated: true}.run(seed)
-			without := backlog{aim: time.Second}.run(seed)
+			with := outage{aim: time.Second, stated: true}.run(seed)
+			without := outage{aim: time.Second}.run(seed)
 			Expect(float64(with.onTime)).To(BeNumerically(">=", 0.5*float64(with.offered)), "seed %d", seed)
 			Expect(with.onTime).To(BeNumerically(">", without.onTime), "seed %d", seed)
 		}
 	})
 
+	// Guards against calls that wait behind new work while the request that makes
+	// them holds a slot elsewhere: the pattern "calls of targets under a wave".
+	It("starts nested calls before all other work", func() {
+		q := admission.New(admission.Config{Slots: 1})
+		arrive := func(id uint64, nested bool) []admission.Action {
+			return q.Step(epoch, admission.Arrive{Item: admission.Item{ID: id, Class: "c", Tenant: "a", Nested: nested,
+				Priority: fleet.Interactive, Expected: 100 * ms, Aim: epoch.Add(200 * ms), Deadline: epoch.Add(600 * ms)}})
+		}
+		Expect(started(arrive(1, false))).To(Equal([]uint64{1}))
+		Expect(arrive(2, false)).To(BeEmpty())
+		Expect(arrive(3, true)).To(BeEmpty())
+		Expect(arrive(4, true)).To(BeEmpty())
+		var order []uint64
+		for _, id := range []uint64{1, 3, 4} {
+			order = append(order, started(q.Step(epoch, admission.Finish{ID: id, Took: 100 * ms}))...)
+		}
+		Expect(order).To(Equal([]uint64{3, 4, 2}))
+	})
+
 	// Guards against overdue work that is held until its deadline or forgotten.
 	It("serves overdue work in a lull and refuses it after half of its time", func() {
 		q := admission.New(admission.Config{Slots: 1})
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -100,7 +100,8 @@
 type Queue struct {
 	cfg      Config
 	lanes    [4]lane // by length and priority
-	overdue  overdue
+	nested   backlog // items that running requests wait for
+	overdue  backlog // items that can no longer meet their aim
 	items    map[uint64]*entry
 	running  int
 	long     int // running long items
@@ -118,7 +119,7 @@
 	Item
 	arrived, started time.Time
 	running          bool
-	overdue          bool
+	in               *backlog // nil while in a lane
 	order            uint64
 	expected         time.Duration // at arrival
 }
@@ -193,6 +194,12 @@
 	slots := float64(q.cfg.Slots)
 	var occupied time.Duration
 	free := q.cfg.Slots - q.running
+	if item.Nested {
+		if free > 0 {
+			return 0
+		}
+		return (q.nested.work + q.soonest(now)) / time.Duration(slots)
+	}
 	if item.Length == fleet.Long {
 		limit := q.longLimit(now)
 		slots, free = float64(limit), min(free, limit-q.long)
@@ -210,7 +217,7 @@
 			occupied += max(0, e.expected-now.Sub(e.started))
 		}
 	}
-	work := float64(occupied) + float64(ahead)
+	work := float64(occupied) + float64(ahead) + float64(q.nested.work)
 	if q.misses(now, item) {
 		work += float64(q.overdue.work)
 	}
@@ -249,9 +256,12 @@
 	q.order++
 	e := &entry{Item: item, arrived: now, order: q.order, expected: q.expected(item)}
 	q.items[item.ID] = e
-	if q.misses(now, item) {
+	switch {
+	case item.Nested && q.cfg.Discipline != FIFO:
+		q.nested.push(e)
+	case q.misses(now, item):
 		q.overdue.push(e)
-	} else {
+	default:
 		q.lane(item).push(e)
 	}
 	if item.Length == fleet.Short {
@@ -360,6 +370,9 @@
 	if q.cfg.Discipline == FIFO {
 		return q.oldest()
 	}
+	if e := q.nested.take(true); e != nil {
+		return e
+	}
 	// Long work has slots of its own up to its limit, so it goes first there;
 	// otherwise steady short work would starve it.
 	mayBeLong := q.long < q.longLimit(now)
@@ -415,7 +428,7 @@
 func (q *Queue) Load(time.Time) fleet.Load {
 	l := fleet.Load{InFlight: q.running, Queued: len(q.items) - q.running, Slots: q.cfg.Slots}
 	for _, e := range q.items {
-		if e.overdue && !e.running {
+		if e.in == &q.overdue && !e.running {
 			continue // new work goes before it
 		}
 		if e.Length == fleet.Short || q.cfg.Discipline == FIFO {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -52,7 +52,7 @@
 	}
 	budget := in.budgets.of(req.service, req.class.Name)
 	budget.Deposit(in.cfg.Clock())
-	in.chargeNested(req, budget)
+	in.classifyOrigin(req, budget)
 	s := series{req: req, budget: budget}
 	var failed *link.Reply // a target's answer that says that it failed
 	for {
@@ -129,6 +129,9 @@
 // a repeat. Finding out whether a target's spell has ended is left to others
 // then.
 func (s *series) final(now time.Time) bool {
+	if s.req.nested {
+		return true // the run that made the call would fail with it
+	}
 	return !s.req.class.Idempotent || s.dispatched+1 >= s.req.class.Attempts || !s.budget.Available(now)
 }
 
@@ -187,6 +190,7 @@
 		return link.Refused(call, "the service has no targets")
 	}
 	call.Prompt = in.cfg.FreeRefusals && s.hops <= promptHops
+	call.Nested = req.nested
 	call.Final = in.cfg.FreeRefusals && s.final(now)
 	choice, ok := picker.Pick(routing.Request{
 		Idempotent: req.class.Idempotent && !call.Final, LargeAnswer: req.class.LargeAnswer, Bytes: max(req.contentLength, 0), Exclude: s.exclude(call.Prompt),
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -64,6 +64,7 @@
 	calls   []string
 	bodies  []string
 	finals  []bool
+	nested  []bool
 	// cancelled reports that the last call arrived with a cancelled context.
 	cancelled bool
 }
@@ -75,6 +76,7 @@
 	body, _ := io.ReadAll(call.Body)
 	s.bodies = append(s.bodies, string(body))
 	s.finals = append(s.finals, call.Final)
+	s.nested = append(s.nested, call.Nested)
 	reply := s.replies[min(len(s.calls), len(s.replies)-1)](call)
 	s.calls = append(s.calls, fmt.Sprintf("%s %s: %s %s", call.Method, call.Path, reply.Outcome, reply.Reason))
 	return reply
@@ -303,6 +305,49 @@
 		Expect(attempts()).To(BeNumerically(">", 1), "the class is one of callers")
 	})
 
+	// Guards against calls of targets that wait behind requests of callers, and
+	// against callers' requests that are taken for calls.
+	It("finds out which classes are calls of local targets", func() {
+		running := int64(1)
+		s := newSessionWith(func(c *ingress.Config) {
+			c.LocalRuns = func() ingress.LocalRuns { return ingress.LocalRuns{Running: running} }
+		}, answered("ok"))
+		nested := func() bool {
+			s.send("GET", "/kits/1", "")
+			return s.script.nested[len(s.script.nested)-1]
+		}
+		Expect(nested()).To(BeFalse())
+		// Others come while nothing runs.
+		running = 0
+		for range 30 {
+			s.send("POST", "/notes", "x")
+		}
+		running = 1
+		for range 12 {
+			nested()
+		}
+		Expect(nested()).To(BeTrue())
+		running = 0
+		nested()
+		running = 1
+		Expect(nested()).To(BeFalse())
+	})
+
+	// Guards against callers' requests that are taken for calls at a target that
+	// is always busy: the pattern "a wave after a restart".
+	It("does not judge classes at a target that is always busy", func() {
+		s := newSessionWith(func(c *ingress.Config) {
+			c.LocalRuns = func() ingress.LocalRuns { return ingress.LocalRuns{Running: 4} }
+		}, answered("ok"))
+		for range 300 {
+			s.send("POST", "/notes", "x")
+		}
+		for range 100 {
+			s.send("GET", "/kits/1", "")
+		}
+		Expect(s.script.nested).To(HaveEach(false))
+	})
+
 	// Guards against a small service whose targets are used up by questions for
 	// a free slot: the pattern "all targets busy".
 	It("waits at a busy target after asking for free slots", func() {
--- a/internal/ingress/nested.go
+++ b/internal/ingress/nested.go
@@ -20,39 +20,93 @@
 // may be a call of a run whose caller had just left.
 const sightingsOfCallers = 2
 
+const (
+	// chanceOfTargets is the chance with which a class of callers may be taken
+	// for one of calls, until its next request that comes alone.
+	chanceOfTargets = 1.0 / 250
+	// busyWeight is the weight of one request in the share of requests that
+	// arrive while a local target runs something.
+	busyWeight = 1.0 / 32
+	// initiallyBusy is that share before the first request. With it, no class is
+	// judged at a target that is busy from the first request on.
+	initiallyBusy = 0.85
+)
+
 // nestedClasses tells classes of callers from those whose requests may be calls
 // that a local target makes while it runs a request. Both arrive from the same
 // VM and look alike, but a call never arrives while nothing runs. It is safe for
 // concurrent use.
 type nestedClasses struct {
 	mu   sync.Mutex
-	seen map[budgetKey]int
+	seen map[budgetKey]*sightings
+	// busy is the share of the requests of all classes that arrive while a local
+	// target runs something.
+	busy float64
 }
 
-// mayBeNested counts a request that arrived while running requests ran at local
-// targets, and reports whether its class may be one of calls.
-func (n *nestedClasses) mayBeNested(service, class string, running int64) bool {
+// sightings is what was seen of one class.
+type sightings struct {
+	// idle counts requests that arrived while no local target ran anything.
+	idle int
+	// chance is the chance that so many requests of callers would have arrived
+	// while a local target ran something. At a target that is always busy, it
+	// stays near one and tells nothing.
+	chance float64
+}
+
+// origin is what is known about where the requests of a class come from.
+type origin uint8
+
+const (
+	// originUnknown: too few requests were seen.
+	originUnknown origin = iota
+	originCallers
+	// originTargets: the requests are calls that local targets make.
+	originTargets
+)
+
+// observe counts a request that arrived while running requests ran at local
+// targets, and tells where its class comes from.
+func (n *nestedClasses) observe(service, class string, running int64) origin {
 	key := budgetKey{service, class}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.seen == nil {
-		n.seen = make(map[budgetKey]int)
+		n.seen, n.busy = make(map[budgetKey]*sightings), initiallyBusy
+	}
+	s := n.seen[key]
+	if s == nil {
+		s = &sightings{chance: 1}
+		n.seen[key] = s
+	}
+	now := 0.0
+	if running > 0 {
+		now = 1
+		s.chance = max(s.chance*n.busy, chanceOfTargets/2)
+	} else {
+		s.idle++
 	}
-	if running == 0 && n.seen[key] < sightingsOfCallers {
-		n.seen[key]++
+	n.busy += busyWeight * (now - n.busy)
+	switch {
+	case s.idle >= sightingsOfCallers:
+		return originCallers
+	case s.idle == 0 && s.chance <= chanceOfTargets:
+		return originTargets
+	default:
+		return originUnknown
 	}
-	return n.seen[key] < sightingsOfCallers
 }
 
-// chargeNested charges the budget for a request that may be a call of a run
-// which is a repeat.
-func (in *Ingress) chargeNested(req *request, budget budget) {
-	share, ok := budget.(*retry.Share)
-	if !ok || in.cfg.LocalRuns == nil {
+// classifyOrigin finds out whether the request is a call of a local target, and
+// charges the budget if it may be a call of a run which is a repeat.
+func (in *Ingress) classifyOrigin(req *request, budget budget) {
+	if in.cfg.LocalRuns == nil {
 		return
 	}
 	runs := in.cfg.LocalRuns()
-	if in.nested.mayBeNested(req.service, req.class.Name, runs.Running) && runs.Repeated > 0 {
+	from := in.nested.observe(req.service, req.class.Name, runs.Running)
+	req.nested = from == originTargets
+	if share, ok := budget.(*retry.Share); ok && from != originCallers && runs.Repeated > 0 {
 		share.Charge(in.cfg.Clock(), runs.Repeated)
 	}
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -45,6 +45,8 @@
 	// firstAttempt is the caller's statement that it sent no earlier request
 	// with this key.
 	firstAttempt bool
+	// nested marks a call that a local target makes while it runs a request.
+	nested bool
 
 	body          []byte    // retained body
 	stream        io.Reader // body that can be read once; nil when retained
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -40,6 +40,9 @@
 	Repeat bool
 	// Prompt asks the sidecar to refuse the call unless a slot is free now.
 	Prompt bool
+	// Nested marks a call of a target that runs a request meanwhile. It goes
+	// before other work, because that request holds a slot and fails with it.
+	Nested bool
 	// Final marks a call whose failure could not be followed by a repeat, so that
 	// only a target in good standing should run it.
 	Final bool
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -42,6 +42,7 @@
 	headerRepeat       = "Siskinvale-Repeat"
 	headerPrompt       = "Siskinvale-Prompt"
 	headerFinal        = "Siskinvale-Final"
+	headerNested       = "Siskinvale-Nested"
 	headerHost         = "Siskinvale-Host"
 
 	headerReason       = "Siskinvale-Reason"
@@ -118,6 +119,9 @@
 	if c.Prompt {
 		h.Set(headerPrompt, "1")
 	}
+	if c.Nested {
+		h.Set(headerNested, "1")
+	}
 	if c.Final {
 		h.Set(headerFinal, "1")
 	}
@@ -150,6 +154,7 @@
 		Repeat:        h.Get(headerRepeat) != "",
 		Prompt:        h.Get(headerPrompt) != "",
 		Final:         h.Get(headerFinal) != "",
+		Nested:        h.Get(headerNested) != "",
 		Insist:        h.Get(headerInsist) != "",
 		Header:        make(http.Header, len(h)),
 		Body:          r.Body,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -267,6 +267,7 @@
 		item := admission.Item{
 			Class: call.Class, Tenant: call.Tenant, Priority: t.Priority, Length: t.Length,
 			Deadline: s.clock().Add(call.Timeout), Expected: t.Expected, Weight: 1,
+			Nested: call.Nested,
 		}
 		if call.Aim > 0 {
 			item.Aim = s.clock().Add(call.Aim)
