--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -50,9 +50,10 @@
 	if req.keyed() {
 		return in.keyedAttempts(ctx, req)
 	}
-	budget := in.budgets.of(req.service, req.class.Name)
-	budget.Deposit(in.cfg.Clock())
-	in.classifyOrigin(req, budget)
+	own := in.budgets.of(req.service, req.class.Name)
+	own.Deposit(in.cfg.Clock())
+	in.classifyOrigin(req, own)
+	budget := in.budgetOf(req)
 	s := series{req: req, budget: budget}
 	var failed *link.Reply // a target's answer that says that it failed
 	for {
@@ -215,6 +216,7 @@
 	reply = in.prefetch(call, reply)
 	reply.Target = target.ID
 	in.paths.record(target.ID, reply)
+	in.learnCalls(req.service, reply)
 	if reply.BadStanding {
 		s.refusedFor++
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -77,6 +78,7 @@
 	budgets  *budgets
 	paths    *pathEvidence
 	nested   nestedClasses
+	callsOf  sync.Map // service -> map[string]float64, from replies
 	door     door
 	// closed refuses new requests, because the node is about to end.
 	closed atomic.Bool
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -333,6 +333,24 @@
 		Expect(nested()).To(BeFalse())
 	})
 
+	// Guards against repeats that are paid without the calls that they make again.
+	It("tells how many calls a run of a local target makes", func() {
+		runs := ingress.LocalRuns{}
+		s := newSessionWith(func(c *ingress.Config) {
+			c.LocalRuns = func() ingress.LocalRuns { return runs }
+		}, answered("ok"))
+		for range 30 {
+			s.send("POST", "/notes", "x")
+		}
+		Expect(s.in.CallsPerRun()).To(BeNil())
+		runs.Running = 1
+		for range 600 {
+			runs.Begun += 2
+			s.send("GET", "/kits/1", "")
+		}
+		Expect(s.in.CallsPerRun()).To(HaveKeyWithValue("booking", BeNumerically("~", 0.5, 0.05)))
+	})
+
 	// Guards against callers' requests that are taken for calls at a target that
 	// is always busy: the pattern "a wave after a restart".
 	It("does not judge classes at a target that is always busy", func() {
--- a/internal/ingress/nested.go
+++ b/internal/ingress/nested.go
@@ -2,14 +2,17 @@
 
 import (
 	"sync"
+	"time"
 
+	"siskinvale.dev/siskinvale/internal/link"
 	"siskinvale.dev/siskinvale/internal/retry"
 )
 
 // LocalRuns is what the targets of this VM run at a moment.
 type LocalRuns struct {
-	// Running is the number of requests that they run.
-	Running int64
+	// Running is the number of requests that they run, Begun that of the
+	// idempotent ones that they began since the start.
+	Running, Begun int64
 	// Repeated is the part of the idempotent ones that are repeats. The calls
 	// that targets make meanwhile are repeats in the same proportion.
 	Repeated float64
@@ -42,6 +45,11 @@
 	// busy is the share of the requests of all classes that arrive while a local
 	// target runs something.
 	busy float64
+	// calls counts the requests that were known to be calls, by service, since
+	// begunAt idempotent runs had begun. Both are halved now and then, so that
+	// the ratio follows changes.
+	calls   map[string]float64
+	begunAt int64
 }
 
 // sightings is what was seen of one class.
@@ -97,16 +105,135 @@
 	}
 }
 
-// classifyOrigin finds out whether the request is a call of a local target, and
-// charges the budget if it may be a call of a run which is a repeat.
+// callsWindow is the number of runs after which older calls lose half of their
+// weight.
+const callsWindow = 200
+
+// called counts a call to service at a moment when begun idempotent runs had
+// begun at local targets.
+func (n *nestedClasses) called(service string, begun int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.calls == nil {
+		n.calls, n.begunAt = make(map[string]float64), begun
+	}
+	n.calls[service]++
+	if runs := begun - n.begunAt; runs > callsWindow {
+		for s := range n.calls {
+			n.calls[s] /= 2
+		}
+		n.begunAt += runs / 2
+	}
+}
+
+// perRun returns the calls that one idempotent run makes on average, by service;
+// nil when none were seen.
+func (n *nestedClasses) perRun(begun int64) map[string]float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.calls) == 0 {
+		return nil
+	}
+	ratios := make(map[string]float64, len(n.calls))
+	for service, calls := range n.calls {
+		ratios[service] = min(calls/float64(max(begun-n.begunAt, 1)), maxCallsPerRun)
+	}
+	return ratios
+}
+
+// maxCallsPerRun bounds the estimate while few runs were seen.
+const maxCallsPerRun = 2
+
+// CallsPerRun returns the calls that one idempotent run at a local target makes
+// on average, by service.
+func (in *Ingress) CallsPerRun() map[string]float64 {
+	if in.cfg.LocalRuns == nil {
+		return nil
+	}
+	return in.nested.perRun(in.cfg.LocalRuns().Begun)
+}
+
+// classifyOrigin finds out whether the request is a call of a local target. As
+// long as that is not known, it charges the budget for the case that the request
+// is a call of a run which is a repeat; later, the repeat itself has paid.
 func (in *Ingress) classifyOrigin(req *request, budget budget) {
 	if in.cfg.LocalRuns == nil {
 		return
 	}
 	runs := in.cfg.LocalRuns()
 	from := in.nested.observe(req.service, req.class.Name, runs.Running)
-	req.nested = from == originTargets
-	if share, ok := budget.(*retry.Share); ok && from != originCallers && runs.Repeated > 0 {
-		share.Charge(in.cfg.Clock(), runs.Repeated)
+	switch from {
+	case originTargets:
+		req.nested = true
+		in.nested.called(req.service, runs.Begun)
+	case originUnknown:
+		if share, ok := budget.(*retry.Share); ok && runs.Repeated > 0 {
+			share.Charge(in.cfg.Clock(), runs.Repeated)
+		}
+	case originCallers:
+	}
+}
+
+// learnCalls takes what a reply says about the calls of a run at its target.
+func (in *Ingress) learnCalls(service string, reply *link.Reply) {
+	if reply.Calls != nil {
+		in.callsOf.Store(service, reply.Calls)
+	}
+}
+
+// repeatBudget is the budget of a service together with those of the services
+// that its runs call: a repeated run makes its calls again.
+type repeatBudget struct {
+	budget
+	called []calledBudget
+}
+
+type calledBudget struct {
+	share  *retry.Share
+	perRun float64
+}
+
+// budgetOf returns the budget for repeats of the request.
+func (in *Ingress) budgetOf(req *request) budget {
+	own := in.budgets.of(req.service, req.class.Name)
+	calls, ok := in.callsOf.Load(req.service)
+	if !ok || !req.class.Idempotent {
+		return own
+	}
+	b := repeatBudget{budget: own}
+	for service, perRun := range calls.(map[string]float64) {
+		if share, ok := in.budgets.of(service, "").(*retry.Share); ok {
+			b.called = append(b.called, calledBudget{share, perRun})
+		}
+	}
+	return b
+}
+
+// Available implements budget.
+func (b repeatBudget) Available(now time.Time) bool {
+	for _, c := range b.called {
+		if !c.share.Available(now) {
+			return false
+		}
+	}
+	return b.budget.Available(now)
+}
+
+// Withdraw implements budget.
+func (b repeatBudget) Withdraw(now time.Time) bool {
+	if !b.Available(now) || !b.budget.Withdraw(now) {
+		return false
+	}
+	for _, c := range b.called {
+		c.share.Charge(now, c.perRun)
+	}
+	return true
+}
+
+// Refund implements budget.
+func (b repeatBudget) Refund(now time.Time) {
+	b.budget.Refund(now)
+	for _, c := range b.called {
+		c.share.Charge(now, -c.perRun)
 	}
 }
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -109,6 +109,9 @@
 	RetryAfter time.Duration
 	// Target is the target that the ingress chose.
 	Target fleet.TargetID
+	// Calls are the calls that one run at the target makes on average, by
+	// service. A repeat of the run repeats them.
+	Calls map[string]float64
 	// Load is the target's load; Slots is 0 if none was reported.
 	Load fleet.Load
 
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -52,6 +52,7 @@
 	headerUndispatched = "Siskinvale-Undispatched"
 	headerDispatched   = "Siskinvale-Dispatched"
 	headerBusy         = "Siskinvale-Busy"
+	headerCalls        = "Siskinvale-Calls"
 	headerStanding     = "Siskinvale-Bad-Standing"
 	headerNotRunUntil  = "Siskinvale-Not-Run-Until"
 	headerRetry        = "Siskinvale-Retry-After"
@@ -243,6 +244,9 @@
 	if r.RetryAfter > 0 {
 		h.Set(headerRetry, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
 	}
+	for service, calls := range r.Calls {
+		h.Add(headerCalls, service+"="+strconv.FormatFloat(calls, 'f', 2, 64))
+	}
 	if r.Load.Slots > 0 {
 		h.Set(headerLoad, formatLoad(r.Load))
 	}
@@ -264,6 +268,7 @@
 		BadStanding:   h.Get(headerStanding) != "",
 		Busy:          h.Get(headerBusy) != "",
 		RetryAfter:    time.Duration(retry) * time.Millisecond,
+		Calls:         parseCalls(h.Values(headerCalls)),
 		Load:          parseLoad(h.Get(headerLoad)),
 		Sent:          true,
 		Status:        resp.StatusCode,
@@ -303,6 +308,23 @@
 	}, nil
 }
 
+// parseCalls leaves out malformed values; the budget of repeats keeps a margin.
+func parseCalls(values []string) map[string]float64 {
+	var calls map[string]float64
+	for _, v := range values {
+		service, text, _ := strings.Cut(v, "=")
+		n, err := strconv.ParseFloat(text, 64)
+		if err != nil || service == "" || n <= 0 {
+			continue
+		}
+		if calls == nil {
+			calls = make(map[string]float64, len(values))
+		}
+		calls[service] = n
+	}
+	return calls
+}
+
 // badUnits is the resolution of Load.Bad on the wire.
 const badUnits = 1000
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,8 +104,9 @@
 		n.sidecar.Speak(adapter.Dialect(), n.log)
 		ingressConfig.Door, ingressConfig.FreeRefusals = adapter.Door(), true
 		ingressConfig.LocalRuns = func() ingress.LocalRuns {
-			return ingress.LocalRuns{Running: n.sidecar.Running(), Repeated: n.sidecar.RepeatedShare()}
+			return ingress.LocalRuns{Running: n.sidecar.Running(), Begun: n.sidecar.Begun(), Repeated: n.sidecar.RepeatedShare()}
 		}
+		n.sidecar.ReportCalls(func() map[string]float64 { return n.ingress.CallsPerRun() })
 	}
 	if r := s.Repeats; r != nil {
 		ingressConfig.Repeats = ingress.Repeats{Ratio: r.Ratio, Allowance: r.Allowance, Window: r.Window}
--- a/internal/retry/share.go
+++ b/internal/retry/share.go
@@ -95,7 +95,8 @@
 }
 
 // Charge counts repeats that were not asked for, for example those that a
-// target makes while it runs a repeat itself. n may be a fraction.
+// target makes while it runs a repeat itself. n may be a fraction; a negative
+// one takes a charge back.
 func (s *Share) Charge(now time.Time, n float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -53,6 +53,10 @@
 	// running counts the runs at local targets, idempotent those that may be
 	// repeated, and repeats those that are repeats.
 	running, idempotent, repeats atomic.Int64
+	// begun counts the idempotent runs since the start.
+	begun atomic.Int64
+	// calls tells how many calls a run makes, by service; nil when unknown.
+	calls func() map[string]float64
 
 	mu      sync.RWMutex
 	targets map[fleet.TargetID]*target
@@ -70,6 +74,13 @@
 // Running is the number of runs at local targets.
 func (s *Sidecar) Running() int64 { return s.running.Load() }
 
+// Begun is the number of idempotent runs since the start.
+func (s *Sidecar) Begun() int64 { return s.begun.Load() }
+
+// ReportCalls makes replies carry how many calls a run makes, by service. It
+// must be called before the first call is forwarded.
+func (s *Sidecar) ReportCalls(f func() map[string]float64) { s.calls = f }
+
 // RepeatedShare is the part of the idempotent runs at local targets that are
 // repeats.
 func (s *Sidecar) RepeatedShare() float64 {
@@ -87,6 +98,7 @@
 		return func() { s.running.Add(-1) }
 	}
 	s.idempotent.Add(1)
+	s.begun.Add(1)
 	if call.Repeat {
 		s.repeats.Add(1)
 	}
@@ -208,7 +220,11 @@
 		reply.Misrouted = true
 		return reply
 	}
-	return t.admit(ctx, call, item, nil)
+	reply := t.admit(ctx, call, item, nil)
+	if s.calls != nil && (reply.Dispatched || reply.Outcome == fleet.Answered) {
+		reply.Calls = s.calls()
+	}
+	return reply
 }
 
 // forwardKeyed lets the record of operations decide whether the call runs. The
