--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -38,6 +38,9 @@
 	// promptHops is how many sidecars are asked for a free slot before the
 	// request may wait at one.
 	promptHops = 3
+	// heldAtLeast tells a refusal after a wait from one at once, which takes a
+	// few milliseconds between data centres.
+	heldAtLeast = 50 * time.Millisecond
 	// insistAfter is how many sidecars may refuse a request for the standing of
 	// their targets before one is asked to run it all the same. It then goes to
 	// the best target that is left.
@@ -111,6 +114,9 @@
 	// target, refusedFor those whose target was in bad standing.
 	hops, dispatched, refusedFor int
 	doubt                        bool
+	// waited is set when a sidecar held the request and refused it then. It does
+	// not wait at a second one: the caller learns soon that it has not run.
+	waited bool
 	// paid is set while the budget has paid for a repeat that was not made yet.
 	paid bool
 }
@@ -190,7 +196,7 @@
 	if !ok {
 		return link.Refused(call, "the service has no targets")
 	}
-	call.Prompt = in.cfg.FreeRefusals && s.hops <= promptHops
+	call.Prompt = in.cfg.FreeRefusals && (s.hops <= promptHops || s.waited)
 	call.Nested = req.nested
 	call.Final = in.cfg.FreeRefusals && s.final(now)
 	choice, ok := picker.Pick(routing.Request{
@@ -220,6 +226,9 @@
 	if reply.BadStanding {
 		s.refusedFor++
 	}
+	if reply.Outcome == fleet.NotRun && in.cfg.Clock().Sub(now) >= heldAtLeast {
+		s.waited = true
+	}
 	if reply.Busy {
 		s.busy = append(s.busy, target.ID)
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -64,6 +64,7 @@
 	calls   []string
 	bodies  []string
 	finals  []bool
+	prompts []bool
 	nested  []bool
 	// cancelled reports that the last call arrived with a cancelled context.
 	cancelled bool
@@ -76,6 +77,7 @@
 	body, _ := io.ReadAll(call.Body)
 	s.bodies = append(s.bodies, string(body))
 	s.finals = append(s.finals, call.Final)
+	s.prompts = append(s.prompts, call.Prompt)
 	s.nested = append(s.nested, call.Nested)
 	reply := s.replies[min(len(s.calls), len(s.replies)-1)](call)
 	s.calls = append(s.calls, fmt.Sprintf("%s %s: %s %s", call.Method, call.Path, reply.Outcome, reply.Reason))
@@ -351,6 +353,26 @@
 		Expect(s.in.CallsPerRun()).To(HaveKeyWithValue("booking", BeNumerically("~", 0.5, 0.05)))
 	})
 
+	// Guards against a request that waits at one sidecar after the other and is
+	// refused when its time is nearly over.
+	It("waits at one sidecar only", func() {
+		held := func(c *link.Call) *link.Reply {
+			time.Sleep(60 * time.Millisecond)
+			return refused("not admitted: overdue")(c)
+		}
+		s := newSessionWith(func(c *ingress.Config) { c.FreeRefusals = true }, held, refused("full"))
+		Expect(s.send("GET", "/kits/1", "").Code).To(Equal(503))
+		Expect(s.script.prompts).To(HaveEach(true))
+		busy := func(c *link.Call) *link.Reply {
+			r := refused("no slot is free")(c)
+			r.Busy = true
+			return r
+		}
+		s = newSessionWith(func(c *ingress.Config) { c.FreeRefusals = true }, busy, busy, busy, held, refused("full"))
+		Expect(s.send("GET", "/kits/1", "").Code).To(Equal(503))
+		Expect(s.script.prompts[3:]).To(Equal([]bool{false}), "all targets were asked for a free slot already")
+	})
+
 	// Guards against callers' requests that are taken for calls at a target that
 	// is always busy: the pattern "a wave after a restart".
 	It("does not judge classes at a target that is always busy", func() {
