--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -129,11 +129,16 @@
 	})
 }
 
-// logFailed logs that a request ended with the failure of a target.
-func (in *Ingress) logFailed(req *request, reply *link.Reply) {
-	in.cfg.Log.Log(event.RequestFailed, event.Fields{
+// logAnswered logs that a request ended with the answer of a target, which may
+// be its failure.
+func (in *Ingress) logAnswered(req *request, reply *link.Reply) {
+	e := event.RequestServed
+	if failedStatus(reply.Status) {
+		e = event.RequestFailed
+	}
+	in.cfg.Log.Log(e, event.Fields{
 		"request": req.id, "service": req.service, "class": req.classLabel(), "target": reply.Target, "status": reply.Status,
-		"idempotent": req.class.Idempotent, "after_ms": in.cfg.Clock().Sub(req.received).Milliseconds(), "version": in.bundleVersion(),
+		"idempotent": req.class.Idempotent, "nested": req.nested, "after_ms": in.cfg.Clock().Sub(req.received).Milliseconds(), "version": in.bundleVersion(),
 	})
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -154,9 +154,7 @@
 		in.refuse(w, req, problem)
 		return problem.outcome
 	}
-	if failedStatus(reply.Status) {
-		in.logFailed(req, reply)
-	}
+	in.logAnswered(req, reply)
 	in.door.answered(w.Header())
 	if err := writeAnswer(w, req, reply); err != nil {
 		in.answerCut(req, err)
