--- a/cmd/siskinvale-node/main.go
+++ b/cmd/siskinvale-node/main.go
@@ -32,9 +32,6 @@
 const (
 	// memoryLimit keeps the heap of a node well below its 128 MB.
 	memoryLimit = 96 << 20
-	// collectPercent lets the small live heap of a node, about 10 MB, grow
-	// further between two garbage collections than Go's default of 100.
-	collectPercent = 400
 )
 
 // logFlushWait bounds the time in which the last log lines are written.
@@ -85,7 +82,6 @@
 }
 
 func serve(path string, settings *config.Settings) int {
-	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(memoryLimit)
 	logger := logrus.New()
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
