--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -46,6 +46,18 @@
 	return fleet.Node{ID: "peer", PeerAddr: server.Listener.Addr().String(), Incarnation: 1}
 }
 
+// countedReader counts the bytes that are read from it.
+type countedReader struct {
+	io.Reader
+	read atomic.Int64
+}
+
+func (r *countedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.read.Add(int64(n))
+	return n, err
+}
+
 func newCall() *link.Call {
 	return &link.Call{
 		AttemptID: "a1", RequestID: "r1", Service: "booking", Class: "lookup", Tenant: "t",
@@ -100,6 +112,36 @@
 	})
 
 	// Guards against an answer cut short that is passed on as complete.
+	// Guards against bodies that cross to every sidecar that is asked and refuses.
+	It("keeps a large body until the sidecar admits the call", func() {
+		admit := false
+		node := serve(link.Handler(newKeys(), forwarderFunc(func(_ context.Context, c *link.Call) *link.Reply {
+			if !admit {
+				return link.Refused(c, "no slot is free")
+			}
+			body, err := io.ReadAll(c.Body)
+			Expect(err).NotTo(HaveOccurred())
+			return &link.Reply{AttemptID: c.AttemptID, Outcome: fleet.Answered, Status: 200,
+				ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(string(body)))}
+		}), noRefusals))
+		send := func() (*link.Reply, *countedReader) {
+			body := &countedReader{Reader: strings.NewReader(strings.Repeat("x", 4000))}
+			call := newCall()
+			call.Method, call.Body, call.ContentLength = http.MethodPost, body, 4000
+			return remote.Forward(context.Background(), node, fleet.Short, call), body
+		}
+		reply, body := send()
+		Expect(reply.Outcome).To(Equal(fleet.NotRun))
+		Expect(body.read.Load()).To(BeZero())
+		admit = true
+		reply, body = send()
+		Expect(reply.Outcome).To(Equal(fleet.Answered))
+		answer, err := io.ReadAll(reply.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer).To(HaveLen(4000))
+		Expect(body.read.Load()).To(Equal(int64(4000)))
+	})
+
 	It("reports a truncated answer as a read error", func() {
 		node := serve(link.Handler(newKeys(), forwarderFunc(func(_ context.Context, c *link.Call) *link.Reply {
 			body := io.MultiReader(strings.NewReader("half"), errReader{})
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -23,6 +23,10 @@
 	IdleTimeout time.Duration
 }
 
+// bodyWait is how long the body of a call waits for the sidecar to admit it. The
+// call's own timeout ends most waits earlier.
+const bodyWait = 5 * time.Second
+
 // DefaultConfig finds a silent connection within one second.
 func DefaultConfig() Config {
 	return Config{
@@ -97,10 +101,12 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		DialContext:        dialer.DialContext,
-		Protocols:          protocols,
-		DisableCompression: true,
-		IdleConnTimeout:    cfg.IdleTimeout,
+		DialContext: dialer.DialContext,
+		Protocols:   protocols,
+		// A sidecar reads the body when it admits the call, or refuses it.
+		ExpectContinueTimeout: bodyWait,
+		DisableCompression:    true,
+		IdleConnTimeout:       cfg.IdleTimeout,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: cfg.PingInterval,
 			PingTimeout:     cfg.PingTimeout,
--- a/internal/link/remote.go
+++ b/internal/link/remote.go
@@ -12,6 +12,12 @@
 	"siskinvale.dev/siskinvale/internal/fleet"
 )
 
+// largestEagerBody is the size in bytes up to which a body is sent along with its
+// call. Larger ones wait until the sidecar admits the call: most sidecars that
+// are asked refuse, and bytes between data centres are paid for. The wait costs
+// one round trip.
+const largestEagerBody = 1 << 10
+
 // Remote forwards calls to other nodes over the pool's connections.
 type Remote struct {
 	Self fleet.NodeID
@@ -63,6 +69,9 @@
 	req.ContentLength = call.ContentLength
 	PreventReplay(req)
 	call.writeHeader(req.Header)
+	if call.ContentLength > largestEagerBody || call.ContentLength < 0 {
+		req.Header.Set("Expect", "100-continue")
+	}
 	if v, ok := call.Header["Authorization"]; ok {
 		req.Header[headerCallerAuthorization] = v
 	}
