--- a/cmd/siskinvale-node/main.go
+++ b/cmd/siskinvale-node/main.go
@@ -107,6 +107,12 @@
 			n.Reload(path)
 		}
 	}()
+	go config.Watch(ctx, path, config.WatchInterval, func() {
+		select {
+		case hangup <- syscall.SIGHUP:
+		default: // a reload is due already
+		}
+	})
 	if err := n.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/internal/fleet/outcome.go
+++ b/internal/fleet/outcome.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+)
 
 // Outcome says what is known about a request after an attempt ended.
 type Outcome uint8
@@ -35,3 +38,9 @@
 	}
 	return Unknown
 }
+
+// FailedStatus reports whether the status of a target's answer says that the
+// target failed. 501 is a statement about the request.
+func FailedStatus(status int) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusNotImplemented
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -61,7 +60,7 @@
 	var failed *link.Reply // a target's answer that says that it failed
 	for {
 		reply := in.attempt(ctx, &s)
-		if reply.Outcome == fleet.Answered && !(req.class.Idempotent && failedStatus(reply.Status)) {
+		if reply.Outcome == fleet.Answered && !(req.class.Idempotent && fleet.FailedStatus(reply.Status)) {
 			return reply
 		}
 		outcome := reply.Outcome
@@ -155,11 +154,6 @@
 	return reply
 }
 
-// failedStatus reports whether an answer says that the target failed.
-func failedStatus(status int) bool {
-	return status >= http.StatusInternalServerError && status != http.StatusNotImplemented
-}
-
 // held reports whether the whole answer is in memory, so that it can be
 // returned after a further attempt.
 func held(reply *link.Reply) bool {
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -45,8 +45,6 @@
 	RetryAfter time.Duration
 	// Late reports that the request's time is over.
 	Late bool
-	// Leaving asks to close the connection, because the node is stopping.
-	Leaving bool
 }
 
 // door is a Door as the ingress uses it.
@@ -101,12 +99,12 @@
 
 func (d *foreignDoor) refuse(w http.ResponseWriter, _ *request, p *problem) {
 	refusal := Refusal{
-		Outcome: p.outcome, Detail: p.detail, RetryAfter: p.retryAfter, Late: p.late, Leaving: d.in.view.Load().Leaving,
+		Outcome: p.outcome, Detail: p.detail, RetryAfter: p.retryAfter, Late: p.late,
 	}
 	if p.status < http.StatusInternalServerError {
 		refusal.Status = p.status
 	}
-	if refusal.Leaving {
+	if d.in.view.Load().Leaving {
 		w.Header().Set("Connection", "close")
 	}
 	d.Refuse(w, refusal)
@@ -133,7 +131,7 @@
 // be its failure.
 func (in *Ingress) logAnswered(req *request, reply *link.Reply) {
 	e := event.RequestServed
-	if failedStatus(reply.Status) {
+	if fleet.FailedStatus(reply.Status) {
 		e = event.RequestFailed
 	}
 	in.cfg.Log.Log(e, event.Fields{
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -53,8 +53,11 @@
 		wait := discoveryInterval
 		if err := d.look(ctx); err != nil {
 			wait, retry = retry, min(2*retry, discoveryRetryMax)
-		} else if looks++; looks == 1 {
-			wait = discoverySettle
+		} else {
+			retry = discoveryRetryMin
+			if looks++; looks == 1 {
+				wait = discoverySettle
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/sidecar/evidence.go
+++ b/internal/sidecar/evidence.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync"
 	"time"
 
+	"siskinvale.dev/siskinvale/internal/fleet"
 	"siskinvale.dev/siskinvale/internal/health"
 )
 
@@ -164,7 +164,7 @@
 		return failed
 	case err != nil:
 		return truncated
-	case status >= http.StatusInternalServerError && status != http.StatusNotImplemented:
+	case fleet.FailedStatus(status):
 		return failed
 	default:
 		return completed
