--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -15,10 +15,11 @@
 
 // Events of single requests.
 var (
-	RequestRefused = declare(5201, "request-refused", logrus.InfoLevel, "a request got no answer of a target")
-	AttemptEnded   = declare(5202, "attempt-ended", logrus.InfoLevel, "an attempt ended without the final answer")
-	RequestFailed  = declare(5206, "request-failed", logrus.InfoLevel, "a request got a target's own failure as its answer")
-	RequestServed  = declare(5207, "request-served", logrus.InfoLevel, "a request got the answer of a target")
-	CallRefused    = declare(5203, "call-refused", logrus.InfoLevel, "a sidecar refused a call; it was not run")
-	CallFailed     = declare(5204, "call-failed", logrus.InfoLevel, "a call failed at the target")
+	RequestRefused     = declare(5201, "request-refused", logrus.InfoLevel, "a request got no answer of a target")
+	AttemptEnded       = declare(5202, "attempt-ended", logrus.InfoLevel, "an attempt ended without the final answer")
+	RequestFailed      = declare(5206, "request-failed", logrus.InfoLevel, "a request got a target's own failure as its answer")
+	RequestServed      = declare(5207, "request-served", logrus.InfoLevel, "a request got the answer of a target")
+	ClassOriginLearned = declare(5208, "class-origin-learned", logrus.InfoLevel, "it became known whether the requests of a class are calls of local targets")
+	CallRefused        = declare(5203, "call-refused", logrus.InfoLevel, "a sidecar refused a call; it was not run")
+	CallFailed         = declare(5204, "call-failed", logrus.InfoLevel, "a call failed at the target")
 )
--- a/internal/ingress/nested.go
+++ b/internal/ingress/nested.go
@@ -2,8 +2,8 @@
 
 import (
 	"sync"
-	"time"
 
+	"siskinvale.dev/siskinvale/internal/event"
 	"siskinvale.dev/siskinvale/internal/link"
 	"siskinvale.dev/siskinvale/internal/retry"
 )
@@ -60,6 +60,8 @@
 	// while a local target ran something. At a target that is always busy, it
 	// stays near one and tells nothing.
 	chance float64
+	// told is the origin that was last logged.
+	told origin
 }
 
 // origin is what is known about where the requests of a class come from.
@@ -73,9 +75,13 @@
 	originTargets
 )
 
+var originNames = [...]string{"unknown", "callers", "targets"}
+
+func (o origin) String() string { return originNames[o] }
+
 // observe counts a request that arrived while running requests ran at local
-// targets, and tells where its class comes from.
-func (n *nestedClasses) observe(service, class string, running int64) origin {
+// targets, and tells where its class comes from and whether this is news.
+func (n *nestedClasses) observe(service, class string, running int64) (from origin, news bool) {
 	key := budgetKey{service, class}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -97,12 +103,12 @@
 	n.busy += busyWeight * (now - n.busy)
 	switch {
 	case s.idle >= sightingsOfCallers:
-		return originCallers
+		from = originCallers
 	case s.idle == 0 && s.chance <= chanceOfTargets:
-		return originTargets
-	default:
-		return originUnknown
+		from = originTargets
 	}
+	news, s.told = from != s.told, from
+	return from, news
 }
 
 // callsWindow is the number of runs after which older calls lose half of their
@@ -161,7 +167,12 @@
 		return
 	}
 	runs := in.cfg.LocalRuns()
-	from := in.nested.observe(req.service, req.class.Name, runs.Running)
+	from, news := in.nested.observe(req.service, req.class.Name, runs.Running)
+	if news {
+		in.cfg.Log.Log(event.ClassOriginLearned, event.Fields{
+			"request": req.id, "service": req.service, "class": req.class.Name, "origin": from.String(), "running": runs.Running,
+		})
+	}
 	switch from {
 	case originTargets:
 		req.nested = true
@@ -180,60 +191,3 @@
 		in.callsOf.Store(service, reply.Calls)
 	}
 }
-
-// repeatBudget is the budget of a service together with those of the services
-// that its runs call: a repeated run makes its calls again.
-type repeatBudget struct {
-	budget
-	called []calledBudget
-}
-
-type calledBudget struct {
-	share  *retry.Share
-	perRun float64
-}
-
-// budgetOf returns the budget for repeats of the request.
-func (in *Ingress) budgetOf(req *request) budget {
-	own := in.budgets.of(req.service, req.class.Name)
-	calls, ok := in.callsOf.Load(req.service)
-	if !ok || !req.class.Idempotent {
-		return own
-	}
-	b := repeatBudget{budget: own}
-	for service, perRun := range calls.(map[string]float64) {
-		if share, ok := in.budgets.of(service, "").(*retry.Share); ok {
-			b.called = append(b.called, calledBudget{share, perRun})
-		}
-	}
-	return b
-}
-
-// Available implements budget.
-func (b repeatBudget) Available(now time.Time) bool {
-	for _, c := range b.called {
-		if !c.share.Available(now) {
-			return false
-		}
-	}
-	return b.budget.Available(now)
-}
-
-// Withdraw implements budget.
-func (b repeatBudget) Withdraw(now time.Time) bool {
-	if !b.Available(now) || !b.budget.Withdraw(now) {
-		return false
-	}
-	for _, c := range b.called {
-		c.share.Charge(now, c.perRun)
-	}
-	return true
-}
-
-// Refund implements budget.
-func (b repeatBudget) Refund(now time.Time) {
-	b.budget.Refund(now)
-	for _, c := range b.called {
-		c.share.Charge(now, -c.perRun)
-	}
-}
