Spread load reports over relays and pace the published views

Cause: a node of a fleet of 232 sent each load report to up to 32 random peers and each piece of health evidence to up to 64, and rebuilt pickers and copied the node list for each of the hundreds of changes that a start brings. A node heard of a target in another data centre once in ten seconds. Change: internal/loadreport: sidecars report to two relays of their data centre, which batch the loads for its nodes and for one relay of each other data centre. A report carries a fingerprint of the target's record; a node that lacks that version asks for it. Every packet carries the version in force. Views are published at most every 100 ms unless urgent; pickers keep their targets in order; the choice of readers no longer scans all nodes.

--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -513,7 +513,7 @@
 // Targets returns all targets in use (serving or draining), ordered by
 // identifier. Their states take the states of their nodes into account.
 func (r *Registry) Targets() []fleet.Target {
-	return r.collect(func(rec *record) (fleet.Target, bool) {
+	return collect(r.targets, func(rec *record) (fleet.Target, bool) {
 		t := r.effectiveTarget(rec)
 		return t, t.State != fleet.TargetGone
 	})
@@ -522,20 +522,36 @@
 // Local returns the records of this node's own targets that are not gone,
 // ordered by identifier.
 func (r *Registry) Local() []fleet.Target {
-	return r.collect(func(rec *record) (fleet.Target, bool) {
+	return collect(r.byNode[r.self.ID], func(rec *record) (fleet.Target, bool) {
 		return rec.target, rec.local && rec.target.State != fleet.TargetGone
 	})
 }
 
+// Record returns the record of a target, which may have been removed, and
+// whether there is one.
+func (r *Registry) Record(id fleet.TargetID) (fleet.Target, bool) {
+	rec, ok := r.targets[id]
+	if !ok {
+		return fleet.Target{}, false
+	}
+	return rec.target, true
+}
+
+// OfNode returns the targets of a node, including removed ones, ordered by
+// identifier. Their states take the state of the node into account.
+func (r *Registry) OfNode(id fleet.NodeID) []fleet.Target {
+	return collect(r.byNode[id], func(rec *record) (fleet.Target, bool) { return r.effectiveTarget(rec), true })
+}
+
 // Records returns all records, including those of removed targets, for a
 // full-state exchange. The receiver passes each one to Step as a RemoteUpdate.
 func (r *Registry) Records() []fleet.Target {
-	return r.collect(func(rec *record) (fleet.Target, bool) { return rec.target, true })
+	return collect(r.targets, func(rec *record) (fleet.Target, bool) { return rec.target, true })
 }
 
-func (r *Registry) collect(wanted func(*record) (fleet.Target, bool)) []fleet.Target {
+func collect(records map[fleet.TargetID]*record, wanted func(*record) (fleet.Target, bool)) []fleet.Target {
 	var targets []fleet.Target
-	for _, rec := range r.targets {
+	for _, rec := range records {
 		if t, ok := wanted(rec); ok {
 			targets = append(targets, t)
 		}
--- a/internal/membership/budget.go
+++ b/internal/membership/budget.go
@@ -57,7 +57,7 @@
 }
 
 func (m *Machine) datagram() *controlv1.Datagram {
-	return &controlv1.Datagram{From: string(m.self.node.ID), Incarnation: m.self.node.Incarnation}
+	return &controlv1.Datagram{From: string(m.self.node.ID), Incarnation: m.self.node.Incarnation, BundleVersion: m.self.node.BundleVersion}
 }
 
 // sendWithUpdates sends d with piggybacked updates. A failure report about the
--- a/internal/membership/transport.go
+++ b/internal/membership/transport.go
@@ -73,23 +73,48 @@
 // Send appends the authentication tag to a message and sends it to an address
 // (ip:port). A message that is too large gives ErrDatagramTooLarge.
 func (t *Transport) Send(to string, d *controlv1.Datagram) error {
-	addr, err := netip.ParseAddrPort(to)
+	return t.SendAll([]string{to}, d)
+}
+
+// SendAll sends one message to several addresses (ip:port) and encodes it only
+// once. It tries all addresses and returns the first error. A message that is
+// too large gives ErrDatagramTooLarge.
+func (t *Transport) SendAll(to []string, d *controlv1.Datagram) error {
+	packet, err := t.seal(d)
 	if err != nil {
-		t.sendErrors.Add(1)
-		return fmt.Errorf("parse peer address: %w", err)
+		t.sendErrors.Add(uint64(len(to)))
+		return err
 	}
+	var first error
+	for _, addr := range to {
+		if err := t.write(addr, packet); err != nil {
+			t.sendErrors.Add(1)
+			if first == nil {
+				first = err
+			}
+		}
+	}
+	return first
+}
+
+// seal encodes a message and appends its authentication tag.
+func (t *Transport) seal(d *controlv1.Datagram) ([]byte, error) {
 	packet, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, 0, MaxDatagram), d)
 	if err != nil {
-		t.sendErrors.Add(1)
-		return fmt.Errorf("encode datagram: %w", err)
+		return nil, fmt.Errorf("encode datagram: %w", err)
 	}
 	if len(packet)+auth.TagSize > MaxDatagram {
-		t.sendErrors.Add(1)
-		return fmt.Errorf("%w: %d bytes with its tag", ErrDatagramTooLarge, len(packet)+auth.TagSize)
+		return nil, fmt.Errorf("%w: %d bytes with its tag", ErrDatagramTooLarge, len(packet)+auth.TagSize)
+	}
+	return t.keys.Seal(packet), nil
+}
+
+func (t *Transport) write(to string, packet []byte) error {
+	addr, err := netip.ParseAddrPort(to)
+	if err != nil {
+		return fmt.Errorf("parse peer address: %w", err)
 	}
-	packet = t.keys.Seal(packet)
 	if _, err := t.conn.WriteToUDPAddrPort(packet, addr); err != nil {
-		t.sendErrors.Add(1)
 		return fmt.Errorf("send datagram: %w", err)
 	}
 	t.sent.Add(1)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math"
@@ -14,6 +15,7 @@
 	"siskinvale.dev/siskinvale/internal/event"
 	"siskinvale.dev/siskinvale/internal/fleet"
 	"siskinvale.dev/siskinvale/internal/health"
+	"siskinvale.dev/siskinvale/internal/loadreport"
 	"siskinvale.dev/siskinvale/internal/membership"
 	"siskinvale.dev/siskinvale/internal/rollout"
 	"siskinvale.dev/siskinvale/internal/routing"
@@ -36,6 +38,10 @@
 	// slowStepTicks is the number of control ticks between two steps of the
 	// state machines whose deadlines are seconds long.
 	slowStepTicks = 5
+	// publishInterval is the shortest time between two views. A view costs time
+	// in proportion to the fleet, and while a fleet starts there are as many
+	// changes as nodes and targets.
+	publishInterval = 100 * time.Millisecond
 )
 
 // control is the control state of a node. All fields except the atomic ones are
@@ -51,24 +57,31 @@
 	health   *health.Monitor
 	routing  *routing.Table
 	evidence *evidenceCollector
+	loads    *loadreport.Relay
 
 	bundle      *bundle.Bundle
 	nodes       map[fleet.NodeID]fleet.Node
 	targetsByID map[fleet.TargetID]fleet.Target
-	// byService holds the targets of targetsByID grouped by service. Decisions
-	// concern one service at a time, and 28,000 targets may be known.
-	byService     map[string]map[fleet.TargetID]fleet.Target
+	// byService holds the targets of targetsByID grouped by service and ordered
+	// by ID. Decisions concern one service at a time, and 28,000 targets may be
+	// known.
+	byService     map[string][]fleet.Target
 	pickers       map[string]*routing.Picker
 	owners        map[string][]fleet.NodeID // by service, the nodes that can own its keys
 	staleServices map[string]bool           // services whose picker and operation members must be rebuilt
 	viewChanged   bool
-	draining      bool
-	// loadsDue makes the next tick send the loads of the local targets to all
-	// data centres without waiting for loadTicks.
-	loadsDue    bool
-	loadReports uint64
-	ticks       uint64
-	reported    struct{ overBudget, dropped uint64 }
+	// viewUrgent makes publish replace the view without waiting for
+	// publishInterval.
+	viewUrgent  bool
+	publishedAt time.Time
+	draining    bool
+	// loadsDue makes the next tick send the loads of the local targets without
+	// waiting for loadTicks.
+	loadsDue bool
+	// wantedAt is the time of the last request for target records.
+	wantedAt time.Time
+	ticks    uint64
+	reported struct{ overBudget, dropped uint64 }
 
 	ready    atomic.Bool
 	version  atomic.Uint64
@@ -105,9 +118,10 @@
 		health:        health.New(health.Config{Self: self.ID}),
 		routing:       routing.NewTable(self, routing.Config{Standing: n.adapter != nil}),
 		evidence:      newEvidenceCollector(self.Incarnation),
+		loads:         loadreport.New(self, loadreport.DefaultConfig()),
 		nodes:         map[fleet.NodeID]fleet.Node{self.ID: self},
 		targetsByID:   make(map[fleet.TargetID]fleet.Target),
-		byService:     make(map[string]map[fleet.TargetID]fleet.Target),
+		byService:     make(map[string][]fleet.Target),
 		pickers:       make(map[string]*routing.Picker),
 		owners:        make(map[string][]fleet.NodeID),
 		staleServices: make(map[string]bool),
@@ -141,23 +155,26 @@
 }
 
 func (c *control) receive(from string, d *controlv1.Datagram) {
+	if version := d.GetBundleVersion(); version > c.version.Load() {
+		c.stepRollout(rollout.PeerVersion{From: fleet.NodeID(d.GetFrom()), Version: version})
+	}
 	if evidence := d.GetEvidence(); evidence != nil {
-		for _, n := range d.GetNodes() {
-			c.stepRollout(rollout.PeerVersion{From: fleet.NodeID(n.GetId()), Version: n.GetBundleVersion()})
-		}
 		for _, t := range d.GetTargets() {
 			// A rejected record is older than the known one.
 			_ = c.stepTargets(remoteTargetUpdate(t))
 		}
 		c.recordHealthSamples(samplesFromProto(fleet.NodeID(d.GetFrom()), evidence))
-		c.recordPeerLoads(fleet.NodeID(d.GetFrom()), evidence.GetLoads())
+		c.receiveLoads(from, evidence)
+		if ids := evidence.GetWantedTargets(); len(ids) > 0 {
+			c.sendWanted(from, ids)
+		}
 		return
 	}
 	c.stepMembers(membership.Packet{From: from, Message: d})
 }
 
 // run executes queued functions and timer ticks until ctx ends. It publishes a
-// new view after each of them that changed the state.
+// new view when one of them changed the state, see publish.
 func (c *control) run(ctx context.Context) {
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
@@ -203,6 +220,7 @@
 		c.loadsDue = false
 		c.sendLoads(due)
 	}
+	c.relayLoads()
 	if c.ticks%slowStepTicks == 0 {
 		c.stepTargets(announce.Tick{})
 		c.stepRollout(rollout.Tick{})
@@ -251,7 +269,7 @@
 // peers.
 func (c *control) leave() {
 	c.draining = true
-	c.viewChanged = true
+	c.viewChanged, c.viewUrgent = true, true
 	c.stepMembers(membership.Leave{})
 	c.publish()
 }
@@ -284,6 +302,7 @@
 	c.nodes[n.ID] = n
 	c.viewChanged = true
 	c.stepRollout(rollout.NodeChanged{Node: n})
+	c.loads.NodeChanged(n)
 	if n.ID == c.node.self.ID {
 		return
 	}
@@ -315,10 +334,8 @@
 }
 
 func (c *control) markServicesStale(id fleet.NodeID) {
-	for _, t := range c.targetsByID {
-		if t.Node == id {
-			c.staleServices[t.Service] = true
-		}
+	for _, t := range c.targets.OfNode(id) {
+		c.staleServices[t.Service] = true
 	}
 }
 
@@ -378,21 +395,32 @@
 		c.forgetTarget(old)
 	}
 	c.targetsByID[t.ID] = t
-	if c.byService[t.Service] == nil {
-		c.byService[t.Service] = make(map[fleet.TargetID]fleet.Target)
+	list := c.byService[t.Service]
+	if i, listed := findTarget(list, t.ID); listed {
+		list[i] = t
+	} else {
+		c.byService[t.Service] = slices.Insert(list, i, t)
 	}
-	c.byService[t.Service][t.ID] = t
 	c.addHealthTarget(t)
 }
 
 func (c *control) forgetTarget(t fleet.Target) {
 	delete(c.targetsByID, t.ID)
-	delete(c.byService[t.Service], t.ID)
+	list := c.byService[t.Service]
+	if i, listed := findTarget(list, t.ID); listed {
+		c.byService[t.Service] = slices.Delete(list, i, i+1)
+	}
 	if len(c.byService[t.Service]) == 0 {
 		delete(c.byService, t.Service)
 	}
 }
 
+// findTarget returns the position of a target in a list ordered by ID, and
+// whether the list has it.
+func findTarget(list []fleet.Target, id fleet.TargetID) (int, bool) {
+	return slices.BinarySearchFunc(list, id, func(t fleet.Target, id fleet.TargetID) int { return cmp.Compare(t.ID, id) })
+}
+
 func (c *control) addHealthTarget(t fleet.Target) {
 	added := health.TargetAdded{Target: t}
 	if c.bundle != nil {
--- a/internal/node/evidence.go
+++ b/internal/node/evidence.go
@@ -2,13 +2,11 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
 	"siskinvale.dev/siskinvale/internal/fleet"
 	"siskinvale.dev/siskinvale/internal/health"
-	"siskinvale.dev/siskinvale/internal/membership"
 )
 
 const (
@@ -100,83 +98,21 @@
 }
 
 func (c *control) sendEvidence() {
+	if c.node.adapter != nil {
+		return
+	}
 	samples, urgent := c.evidence.takeDue(time.Now())
 	if len(samples) == 0 {
 		return
 	}
 	peers := c.usablePeers()
-	d := &controlv1.Datagram{
-		From: string(c.node.self.ID), Incarnation: c.members.Self().Incarnation,
-		Body: &controlv1.Datagram_Evidence{Evidence: &controlv1.Evidence{Samples: samples}},
-	}
+	d := c.evidenceDatagram(&controlv1.Evidence{Samples: samples})
 	for _, peer := range c.evidence.selectReceivers(peers, urgent) {
 		// A lost packet is not resent; the next one has newer data.
 		_ = c.transport.Send(peer.PeerAddr, d)
 	}
 }
 
-const (
-	// loadTicks is the number of control ticks between two reports of loads and
-	// standings inside the data centre: half a second, in which an episode
-	// probability loses a fifth of its weight. Traffic between data centres
-	// costs more, so only every remoteLoadReportInterval-th report is sent to
-	// all data centres. A changed standing is sent to all data centres at once.
-	loadTicks                = 10
-	remoteLoadReportInterval = 3
-	// loadReceivers bounds how many peers receive one report. In a larger fleet
-	// each report goes to a new random selection of peers.
-	loadReceivers = 32
-)
-
-// sendLoads sends the load and standing of the local targets to peers and
-// records them for this node's own routing.
-func (c *control) sendLoads(allDataCentres bool) {
-	if c.node.adapter == nil {
-		return
-	}
-	c.loadReports++
-	allDataCentres = allDataCentres || c.loadReports%remoteLoadReportInterval == 0
-	var loads []*controlv1.TargetLoad
-	c.node.sidecar.Loads(func(id fleet.TargetID, l fleet.Load) {
-		loads = append(loads, loadToProto(id, l))
-		c.recordLoad(id, l)
-	})
-	var records []*controlv1.Target
-	if allDataCentres {
-		for _, t := range c.targets.Local() {
-			records = append(records, membership.TargetToProto(t))
-		}
-	}
-	if len(loads)+len(records) == 0 {
-		return
-	}
-	c.sendToPeers(&controlv1.Evidence{Loads: loads}, records, allDataCentres)
-}
-
-// sendToPeers sends evidence, and the records of the targets that the evidence
-// is about, to random peers: of all data centres if allDataCentres is set,
-// otherwise only of this node's own.
-func (c *control) sendToPeers(e *controlv1.Evidence, records []*controlv1.Target, allDataCentres bool) {
-	d := &controlv1.Datagram{
-		From: string(c.node.self.ID), Incarnation: c.members.Self().Incarnation,
-		Body: &controlv1.Datagram_Evidence{Evidence: e}, Targets: records,
-	}
-	if allDataCentres {
-		// Peers that missed the announcement of the version in force learn of
-		// it here.
-		d.Nodes = []*controlv1.Node{{Id: string(c.node.self.ID), BundleVersion: c.version.Load()}}
-	}
-	peers := c.usablePeers()
-	c.evidence.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	if !allDataCentres {
-		peers = slices.DeleteFunc(peers, func(n fleet.Node) bool { return n.DataCentre != c.node.self.DataCentre })
-	}
-	for _, peer := range peers[:min(loadReceivers, len(peers))] {
-		// A lost packet is not resent; the next one has newer data.
-		_ = c.transport.Send(peer.PeerAddr, d)
-	}
-}
-
 // usablePeers returns the other nodes that are usable.
 func (c *control) usablePeers() []fleet.Node {
 	var peers []fleet.Node
@@ -188,38 +124,6 @@
 	return peers
 }
 
-// recordPeerLoads records the loads that a node reported for its own targets.
-// It ignores loads of targets on other nodes.
-func (c *control) recordPeerLoads(from fleet.NodeID, loads []*controlv1.TargetLoad) {
-	for _, l := range loads {
-		if t, ok := c.targetsByID[fleet.TargetID(l.GetTarget())]; ok && t.Node == from {
-			c.recordLoad(t.ID, loadFromProto(l))
-		}
-	}
-}
-
-func (c *control) recordLoad(id fleet.TargetID, l fleet.Load) {
-	if t, ok := c.targetsByID[id]; ok {
-		c.routing.Report(t.Service, id, l, time.Now())
-	}
-}
-
-func loadToProto(id fleet.TargetID, l fleet.Load) *controlv1.TargetLoad {
-	return &controlv1.TargetLoad{
-		Target: string(id), InFlight: uint32(l.InFlight), Queued: uint32(l.Queued), Slots: uint32(l.Slots),
-		QueuedWorkUs: uint64(l.QueuedWork.Microseconds()), BadPermille: uint32(l.EpisodeProbability * permille),
-	}
-}
-
-const permille = 1000
-
-func loadFromProto(l *controlv1.TargetLoad) fleet.Load {
-	return fleet.Load{
-		InFlight: int(l.GetInFlight()), Queued: int(l.GetQueued()), Slots: int(l.GetSlots()),
-		QueuedWork: time.Duration(l.GetQueuedWorkUs()) * time.Microsecond, EpisodeProbability: float64(l.GetBadPermille()) / permille,
-	}
-}
-
 func sampleToProto(s health.Sample) *controlv1.HealthSample {
 	return &controlv1.HealthSample{
 		Target: string(s.Target), Class: s.Class, Completed: s.Completed, Errors: s.Errors, Truncated: s.Truncated,
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -125,7 +125,7 @@
 		c.addHealthTarget(t)
 		c.staleServices[t.Service] = true
 	}
-	c.viewChanged = true
+	c.viewChanged, c.viewUrgent = true, true
 	c.stepMembers(membership.BundleActivated{Version: a.Version})
 	c.node.log.Log(event.BundleActivated, event.Fields{"version": a.Version, "digest": a.Digest, "bundle": b.Name})
 }
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -13,8 +13,18 @@
 )
 
 // publish rebuilds stale services and gives the ingress and the assignments a
-// new view if anything changed.
+// new view if anything changed. Within publishInterval after the previous view
+// it leaves changes that are not urgent to a later call; the next timer tick
+// makes one.
 func (c *control) publish() {
+	if !c.viewChanged && len(c.staleServices) == 0 {
+		return
+	}
+	now := time.Now()
+	if !c.viewUrgent && now.Sub(c.publishedAt) < publishInterval {
+		return
+	}
+	c.publishedAt, c.viewUrgent = now, false
 	for service := range c.staleServices {
 		c.rebuildService(service)
 		c.viewChanged = true
@@ -37,7 +47,7 @@
 // rebuildService rebuilds the picker of a service and tells the operation
 // manager which nodes can own its keys.
 func (c *control) rebuildService(service string) {
-	targets := c.targetsOf(service)
+	targets := c.byService[service]
 	if len(targets) == 0 {
 		delete(c.pickers, service)
 	} else {
@@ -51,13 +61,6 @@
 	}
 }
 
-// targetsOf returns the targets of a service in order of their IDs.
-func (c *control) targetsOf(service string) []fleet.Target {
-	targets := slices.Collect(maps.Values(c.byService[service]))
-	sort.Slice(targets, func(i, j int) bool { return targets[i].ID < targets[j].ID })
-	return targets
-}
-
 // distinctNodes returns the nodes of the targets, each once.
 func distinctNodes(targets []fleet.Target) []fleet.NodeID {
 	var ids []fleet.NodeID
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -42,6 +43,13 @@
 	nodes  map[fleet.NodeID]fleet.Node
 	live   []fleet.NodeID // usable peers without this node, ordered by identifier
 	reader bool
+	// ownHash is the readerHash of this node, and lowerHashes the number of live
+	// peers in its data centre that have a lower one. liveByCentre counts the
+	// live peers by data centre. They are kept up to date with each change,
+	// because all nodes of a fleet may start at the same time.
+	ownHash      uint64
+	lowerHashes  int
+	liveByCentre map[string]int
 	// newestVersion caches the result of newestPeerVersion. It is valid while
 	// newestValid is set.
 	newestVersion uint64
@@ -107,6 +115,8 @@
 		reportedConflicts: make(map[string]bool),
 		undecodableUntil:  make(map[string]time.Time),
 		startup:           startup{answered: make(map[fleet.NodeID]bool)},
+		ownHash:           readerHash(self),
+		liveByCentre:      make(map[string]int),
 	}
 	m.chooseReader()
 	return m
@@ -189,37 +199,45 @@
 	i := sort.Search(len(m.live), func(i int) bool { return m.live[i] >= n.ID })
 	listed := i < len(m.live) && m.live[i] == n.ID
 	m.invalidateNewest(old.BundleVersion, n.BundleVersion)
-	switch usable := n.ID != m.self && n.Usable(); {
-	case usable == listed:
+	usable := n.ID != m.self && n.Usable()
+	switch {
+	case usable == listed && (!listed || old.DataCentre == n.DataCentre):
 		return
-	case usable:
-		m.live = append(m.live, "")
-		copy(m.live[i+1:], m.live[i:])
-		m.live[i] = n.ID
-	default:
-		m.live = append(m.live[:i], m.live[i+1:]...)
+	case usable && !listed:
+		m.live = slices.Insert(m.live, i, n.ID)
+	case !usable:
+		m.live = slices.Delete(m.live, i, i+1)
+	}
+	if listed {
+		m.countLive(old, -1)
+	}
+	if usable {
+		m.countLive(n, 1)
 	}
 	m.newestValid = m.newestValid && n.BundleVersion < m.newestVersion
 	m.chooseReader()
 }
 
+// countLive adds change to the counts of live peers that n belongs to.
+func (m *Machine) countLive(n fleet.Node, change int) {
+	if m.liveByCentre[n.DataCentre] += change; m.liveByCentre[n.DataCentre] == 0 {
+		delete(m.liveByCentre, n.DataCentre)
+	}
+	if n.DataCentre == m.cfg.DataCentre && readerHash(n.ID) < m.ownHash {
+		m.lowerHashes += change
+	}
+}
+
 // chooseReader decides whether this node is one of the readers of its data
 // centre. The readers are the live nodes with the lowest hashes. Until
 // membership converges, nodes may disagree and there may be more or fewer
 // readers than configured.
 func (m *Machine) chooseReader() {
-	ownHash := readerHash(m.self)
-	lower := 0
-	dataCentres := map[string]bool{m.cfg.DataCentre: true}
-	for _, id := range m.live {
-		if m.nodes[id].DataCentre == m.cfg.DataCentre && readerHash(id) < ownHash {
-			lower++
-		}
-		if m.cfg.MinReaders > 0 {
-			dataCentres[m.nodes[id].DataCentre] = true
-		}
+	dataCentres := len(m.liveByCentre)
+	if m.liveByCentre[m.cfg.DataCentre] == 0 {
+		dataCentres++
 	}
-	reader := lower < max(m.cfg.Readers, (m.cfg.MinReaders+len(dataCentres)-1)/len(dataCentres))
+	reader := m.lowerHashes < max(m.cfg.Readers, (m.cfg.MinReaders+dataCentres-1)/dataCentres)
 	if reader && !m.reader {
 		m.platform.readDone = false
 		m.platform.nextCall = m.now
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -93,14 +93,40 @@
 	self     fleet.Node
 	selfHash uint64
 	cfg      Config
-	services map[string]map[fleet.TargetID]*entry
+	services map[string]*serviceEntries
+}
+
+// serviceEntries holds the targets of one service. They stay in order of rank
+// between rebuilds, so that a rebuild does not sort them.
+type serviceEntries struct {
+	byID   map[fleet.TargetID]*entry
+	ranked []*entry
 }
 
 // entry is one target of a service.
 type entry struct {
+	id       fleet.TargetID
 	endpoint *Endpoint
 	rank     uint64 // see Table.rank
-	listed   bool   // listed in the Rebuild in progress
+	// verdict and listed belong to the Rebuild in progress. An entry that is
+	// not listed is dropped at its end.
+	verdict health.Verdict
+	listed  bool
+}
+
+func compareRanks(a, b *entry) int {
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.id, b.id))
+}
+
+func (s *serviceEntries) insert(e *entry) {
+	at, _ := slices.BinarySearchFunc(s.ranked, e, compareRanks)
+	s.ranked = slices.Insert(s.ranked, at, e)
+}
+
+func (s *serviceEntries) remove(e *entry) {
+	if at, listed := slices.BinarySearchFunc(s.ranked, e, compareRanks); listed {
+		s.ranked = slices.Delete(s.ranked, at, at+1)
+	}
 }
 
 // NewTable returns an empty Table for the ingress of the node self.
@@ -109,7 +135,7 @@
 		cfg.Subset = SubsetSize
 	}
 	return &Table{self: self, selfHash: xxhash.Sum64String(string(self.ID)), cfg: cfg,
-		services: map[string]map[fleet.TargetID]*entry{}}
+		services: map[string]*serviceEntries{}}
 }
 
 // Rebuild returns a Picker for the current targets of a service and their
@@ -118,50 +144,61 @@
 func (t *Table) Rebuild(service string, targets []fleet.Target, verdict func(fleet.TargetID) health.Verdict, now time.Time) *Picker {
 	entries := t.services[service]
 	if entries == nil {
-		entries = make(map[fleet.TargetID]*entry, len(targets))
+		entries = &serviceEntries{byID: make(map[fleet.TargetID]*entry, len(targets))}
 		t.services[service] = entries
 	}
 	p := &Picker{}
-	all := make([]ranked, 0, len(targets))
 	for _, target := range targets {
 		e := t.entry(entries, target)
-		c := t.candidate(e.endpoint, target, verdict(target.ID))
+		e.verdict = verdict(target.ID)
 		if target.State != fleet.TargetServing {
-			p.excluded = append(p.excluded, excludedCandidate{c, ReasonDraining})
-			continue
+			p.excluded = append(p.excluded, excludedCandidate{t.candidate(e), ReasonDraining})
 		}
-		all = append(all, ranked{c, e.rank})
 	}
-	for id, e := range entries {
+	serving := make([]candidate, 0, len(targets))
+	kept := entries.ranked[:0]
+	for _, e := range entries.ranked {
 		if !e.listed {
-			delete(entries, id)
+			delete(entries.byID, e.id)
+			continue
 		}
 		e.listed = false
+		kept = append(kept, e)
+		if e.endpoint.target.Load().State == fleet.TargetServing {
+			serving = append(serving, t.candidate(e))
+		}
 	}
-	if len(entries) == 0 {
+	clear(entries.ranked[len(kept):])
+	entries.ranked = kept
+	if len(kept) == 0 {
 		delete(t.services, service)
 	}
-	p.fillLists(all, t.cfg.Subset)
+	p.fillLists(serving, t.cfg.Subset)
 	return p
 }
 
 // Report stores the load that the target's sidecar published at the given time
 // in the target's Endpoint. Reports about unknown targets are ignored.
 func (t *Table) Report(service string, id fleet.TargetID, load fleet.Load, at time.Time) {
-	if e := t.services[service][id]; e != nil {
-		e.endpoint.Report(load, at)
+	if s := t.services[service]; s != nil {
+		if e := s.byID[id]; e != nil {
+			e.endpoint.Report(load, at)
+		}
 	}
 }
 
-func (t *Table) entry(entries map[fleet.TargetID]*entry, target fleet.Target) *entry {
-	e := entries[target.ID]
+func (t *Table) entry(entries *serviceEntries, target fleet.Target) *entry {
+	e := entries.byID[target.ID]
 	if e == nil {
-		e = &entry{endpoint: &Endpoint{}, rank: t.rank(target)}
-		entries[target.ID] = e
+		e = &entry{id: target.ID, endpoint: &Endpoint{}, rank: t.rank(target)}
+		entries.byID[target.ID] = e
+		entries.insert(e)
 	}
 	if old := e.endpoint.target.Load(); old == nil || *old != target {
 		if old != nil && old.Node != target.Node {
+			entries.remove(e)
 			e.rank = t.rank(target)
+			entries.insert(e)
 		}
 		e.endpoint.target.Store(&target)
 	}
@@ -179,8 +216,9 @@
 	return node&^0xff | splitMix64(t.selfHash^xxhash.Sum64String(string(target.ID)))&0xff
 }
 
-func (t *Table) candidate(ep *Endpoint, target fleet.Target, v health.Verdict) candidate {
-	c := candidate{endpoint: ep, id: target.ID, slots: int64(max(target.Slots, 1)), verdict: v,
+func (t *Table) candidate(e *entry) candidate {
+	target := e.endpoint.target.Load()
+	c := candidate{endpoint: e.endpoint, id: target.ID, slots: int64(max(target.Slots, 1)), verdict: e.verdict,
 		local: target.DataCentre == t.self.DataCentre, useRisk: t.cfg.Standing}
 	if !target.Started.IsZero() { // an unknown start time counts as long ago
 		c.started = target.Started.UnixNano()
@@ -195,43 +233,31 @@
 	return c
 }
 
-type ranked struct {
-	candidate
-	rank uint64
-}
-
-// fillLists distributes the targets to the lists of the Picker. Only usable
-// targets count for the size of the subset. Ejections therefore do not make the
-// subset smaller: it holds size targets, or all usable targets if there are
-// fewer. This covers the floor's share of the subset.
-func (p *Picker) fillLists(all []ranked, size int) {
-	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.id, b.id))
-	})
+// fillLists distributes the serving targets, which are in order of rank, to the
+// lists of the Picker. Only usable targets count for the size of the subset.
+// Ejections therefore do not make the subset smaller: it holds size targets, or
+// all usable targets if there are fewer. This covers the floor's share of the
+// subset.
+func (p *Picker) fillLists(all []candidate, size int) {
 	localQuota := max(size*LocalSubset/SubsetSize, size-count(all, func(c *candidate) bool { return usable(c) && !c.local }))
+	inSubset := make([]bool, len(all))
 	for i := range all {
-		c := &all[i].candidate
+		c := &all[i]
 		if usable(c) && c.local && len(p.local) < localQuota {
-			p.local = append(p.local, *c)
+			p.local, inSubset[i] = append(p.local, *c), true
 		}
 	}
 	for i := range all {
-		c := &all[i].candidate
+		c := &all[i]
 		if usable(c) && !c.local && len(p.local)+len(p.remote) < size {
-			p.remote = append(p.remote, *c)
-		}
-	}
-	inSubset := make(map[fleet.TargetID]bool, size)
-	for _, list := range [][]candidate{p.local, p.remote} {
-		for i := range list {
-			inSubset[list[i].id] = true
+			p.remote, inSubset[i] = append(p.remote, *c), true
 		}
 	}
 	total := 0.0
 	for i := range all {
-		c := &all[i].candidate
+		c := &all[i]
 		if usable(c) {
-			if !inSubset[c.id] {
+			if !inSubset[i] {
 				p.excluded = append(p.excluded, excludedCandidate{*c, ReasonSubset})
 			}
 			continue
@@ -252,10 +278,10 @@
 // usable reports whether the candidate takes part in the choice by cost.
 func usable(c *candidate) bool { return c.verdict.State == health.Healthy }
 
-func count(all []ranked, which func(*candidate) bool) int {
+func count(all []candidate, which func(*candidate) bool) int {
 	n := 0
 	for i := range all {
-		if which(&all[i].candidate) {
+		if which(&all[i]) {
 			n++
 		}
 	}
