Keep membership between data centres to relays and make fewer calls to the store

Change: with an adapter, membership probes inside the data centre and relays probe the relays of others. discoveryPlan decides which calls a node makes; only relays register. One reader a data centre, six at least. Exploration chooses by chance, its own data centre first. Metrics for bytes of links and datagrams.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -53,6 +53,9 @@
 	// Seeds are addresses (ip:port) on VMs that may run a node. Their nodes use
 	// the same peer port as this one; the port in the seed is ignored.
 	Seeds []string `yaml:"seeds"`
+	// FirstStart is set if the whole fleet starts for the first time. Nodes then
+	// take more time to find each other with fewer calls to the platform.
+	FirstStart bool `yaml:"firstStart"`
 	// AnnounceInterval is the time between two announcements of a target.
 	AnnounceInterval time.Duration `yaml:"announceInterval"`
 	// FloorShare is the fraction of a service's targets that ejection always
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -23,6 +24,9 @@
 	// so that an ingress that calls many services does not keep and ping a
 	// connection to each node.
 	IdleTimeout time.Duration
+	// DataCentre is the data centre of this node. Traffic to nodes of other data
+	// centres is counted apart, because it is paid for.
+	DataCentre string
 }
 
 // expectContinueTimeout is the longest time that the body of a call is held
@@ -48,6 +52,9 @@
 	cfg     Config
 	mu      sync.Mutex
 	clients map[clientKey]*http.Client
+	// Own and Other count the traffic with nodes of the own data centre and of
+	// the others.
+	Own, Other Traffic
 }
 
 type clientKey struct {
@@ -71,13 +78,20 @@
 		return c
 	}
 	c := &http.Client{
-		Transport:     p.cfg.transport(),
+		Transport:     p.cfg.transport(p.traffic(node)),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	p.clients[key] = c
 	return c
 }
 
+func (p *Pool) traffic(node fleet.Node) *Traffic {
+	if node.DataCentre == p.cfg.DataCentre {
+		return &p.Own
+	}
+	return &p.Other
+}
+
 // CloseStale removes the clients for all incarnations of node except keep and
 // closes their idle connections.
 func (p *Pool) CloseStale(node fleet.NodeID, keep uint64) {
@@ -101,12 +115,19 @@
 	clear(p.clients)
 }
 
-func (cfg Config) transport() *http.Transport {
+func (cfg Config) transport(traffic *Traffic) *http.Transport {
 	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, traffic: traffic}, nil
+	}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		DialContext: dialer.DialContext,
+		DialContext: dial,
 		Protocols:   protocols,
 		// A sidecar either admits the call and reads its body, or refuses the
 		// call.
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -36,6 +36,11 @@
 	// push goes to one node only, because each push then carries several state
 	// changes and the byte budget is short.
 	singlePushThreshold = 8
+	// aloneReconnectFactor is how much more often a node without live peers tries
+	// to reach one, and aloneSeeds the number of seeds that it then pings: when
+	// all nodes start again at the same time, the first pings find no process.
+	aloneReconnectFactor = 4
+	aloneSeeds           = 16
 	// refuteInterval is the shortest time between two increments of this node's
 	// incarnation. It limits the rate at which two processes with the same
 	// identifier keep raising their incarnations against each other.
@@ -166,6 +171,20 @@
 	return stats
 }
 
+// Joined reports whether another usable node is known.
+func (m *Machine) Joined() bool {
+	for _, p := range m.ring {
+		if p != m.self && p.node.Usable() {
+			return true
+		}
+	}
+	return false
+}
+
+// IsRelay reports whether this node is one of the relays of its data centre: of
+// its live nodes that are not leaving, those with the lowest identifier hashes.
+func (m *Machine) IsRelay() bool { return m.isRelay(m.self) }
+
 // Self returns the local node's record.
 func (m *Machine) Self() fleet.Node { return m.self.node }
 
@@ -307,7 +326,12 @@
 	}
 	m.sendRechecks()
 	if !m.now.Before(m.nextReconnect) {
-		m.nextReconnect = m.now.Add(m.jitter(m.cfg.ReconnectInterval))
+		interval := m.cfg.ReconnectInterval
+		if !m.Joined() {
+			interval /= aloneReconnectFactor
+			m.pingSeeds()
+		}
+		m.nextReconnect = m.now.Add(m.jitter(interval))
 		m.reconnect()
 		if !m.joined {
 			m.sync()
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -395,6 +395,15 @@
 	m.pingSeed(seed)
 }
 
+// pingSeeds pings up to aloneSeeds random seeds.
+func (m *Machine) pingSeeds() {
+	for _, i := range m.random.Perm(len(m.seeds))[:min(len(m.seeds), aloneSeeds)] {
+		if m.seeds[i] != m.self.node.PeerAddr {
+			m.pingSeed(m.seeds[i])
+		}
+	}
+}
+
 // pingSeed pings an address whose node identifier is not known.
 func (m *Machine) pingSeed(addr string) {
 	m.sequence++
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -47,11 +47,15 @@
 	// watching nodes in the fleet. Each waiting watch is a call that the
 	// platform charges for; the other nodes learn of a change from the watching
 	// nodes within a few hundred milliseconds.
-	adapterReadersPerDataCentre = 2
+	adapterReadersPerDataCentre = 1
 	adapterMinReaders           = 6
 	// adapterReadDelay gives a restarted node time to learn about its peers
 	// before it decides whether to read the configuration itself.
 	adapterReadDelay = 20 * time.Millisecond
+	// adapterFirstReadDelay is the same when the whole fleet starts for the first
+	// time, and no caller waits yet. By then most nodes have peers and know
+	// whether they are readers.
+	adapterFirstReadDelay = 2500 * time.Millisecond
 	// adapterRetryMax limits the back-off between reads, so that a changed
 	// configuration is in force within two seconds after an outage of the
 	// store.
@@ -67,6 +71,9 @@
 	if n.adapter != nil {
 		cfg.Readers, cfg.MinReaders = adapterReadersPerDataCentre, adapterMinReaders
 		cfg.ReadDelay, cfg.MaxBackoff = adapterReadDelay, adapterRetryMax
+		if n.settings.Load().Deployment.FirstStart {
+			cfg.ReadDelay = adapterFirstReadDelay
+		}
 	}
 	return cfg
 }
@@ -75,6 +82,8 @@
 	cfg := membership.DefaultConfig()
 	if n.adapter != nil {
 		cfg.BytesPerSecond = adapterBytesPerSecond
+		// Traffic between data centres is paid for.
+		cfg.ProbeAll = false
 	}
 	return cfg
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -58,6 +58,7 @@
 	routing  *routing.Table
 	evidence *evidenceCollector
 	loads    *loadreport.Relay
+	traffic  datagramTraffic
 
 	bundle      *bundle.Bundle
 	nodes       map[fleet.NodeID]fleet.Node
@@ -83,6 +84,10 @@
 	ticks    uint64
 	reported struct{ overBudget, dropped uint64 }
 
+	// joined is set while membership knows another usable node, and relay while
+	// this node is one of the relays of its data centre.
+	joined, relay atomic.Bool
+
 	ready    atomic.Bool
 	version  atomic.Uint64
 	content  atomic.Pointer[rollout.Content]
@@ -119,6 +124,7 @@
 		routing:       routing.NewTable(self, routing.Config{Standing: n.adapter != nil}),
 		evidence:      newEvidenceCollector(self.Incarnation),
 		loads:         loadreport.New(self, loadreport.DefaultConfig()),
+		traffic:       datagramTraffic{remoteAddrs: make(map[string]bool)},
 		nodes:         map[fleet.NodeID]fleet.Node{self.ID: self},
 		targetsByID:   make(map[fleet.TargetID]fleet.Target),
 		byService:     make(map[string][]fleet.Target),
@@ -221,6 +227,8 @@
 		c.sendLoads(due)
 	}
 	c.relayLoads()
+	c.joined.Store(c.members.Joined())
+	c.relay.Store(c.members.IsRelay())
 	if c.ticks%slowStepTicks == 0 {
 		c.stepTargets(announce.Tick{})
 		c.stepRollout(rollout.Tick{})
@@ -283,9 +291,7 @@
 func (c *control) applyMemberAction(action membership.Action) {
 	switch a := action.(type) {
 	case membership.Send:
-		// A send error is treated like a packet lost in the network; the
-		// transport counts it.
-		_ = c.transport.Send(a.To, a.Message)
+		c.send(a.Message, a.To)
 	case membership.NodeChanged:
 		c.nodeChanged(a.Node)
 	case membership.TargetReceived:
@@ -303,6 +309,7 @@
 	c.viewChanged = true
 	c.stepRollout(rollout.NodeChanged{Node: n})
 	c.loads.NodeChanged(n)
+	c.traffic.nodeChanged(n, c.node.self.DataCentre)
 	if n.ID == c.node.self.ID {
 		return
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -15,18 +16,27 @@
 
 const (
 	// nodeKind is the kind of the platform objects by which nodes find each
-	// other. Each node has one object, named after its ID.
+	// other. Each relay of membership has one object, named after its node ID.
 	nodeKind = "siskinvale-nodes"
 	// discoveryRetryMin and discoveryRetryMax bound the back-off after a failed
-	// call to the platform.
+	// call to the platform, and after a look that led to no peer.
 	discoveryRetryMin = 300 * time.Millisecond
 	discoveryRetryMax = 3 * time.Second
-	// discoverySecondDelay is the pause between the first and the second round
-	// of discovery. Nodes that start together have registered by then.
-	discoverySecondDelay = 2 * time.Second
-	// discoveryInterval is the pause between later rounds, which find nodes
-	// that membership has lost permanently.
+	// discoveryJoinWait is how long a node that found others waits for their
+	// answers before it looks again.
+	discoveryJoinWait = 500 * time.Millisecond
+	// discoveryFirstWait is the mean time that a node waits for an answer from
+	// its seeds when the fleet starts for the first time. Nodes that have no
+	// seeds then look one after another, so that most of them find one that has
+	// registered.
+	discoveryFirstWait = 1500 * time.Millisecond
+	// discoveryInterval is the time between two looks of a registered node. They
+	// find nodes that membership has lost permanently.
 	discoveryInterval = 2 * time.Minute
+	// discoveryPoll is the time between two checks of what is due, and
+	// discoveryIdlePoll the same for a node that has peers.
+	discoveryPoll     = 100 * time.Millisecond
+	discoveryIdlePoll = 2 * time.Second
 )
 
 // nodeRecord is the value of the platform object by which a node registers.
@@ -38,59 +48,135 @@
 	Incarnation uint64       `json:"incarnation"`
 }
 
+// discoveryAction is a call to the platform.
+type discoveryAction uint8
+
+const (
+	discoveryIdle discoveryAction = iota
+	// discoveryLook reads the registered nodes.
+	discoveryLook
+	// discoveryRegister registers this node and reads the registered nodes: of
+	// two nodes that register at the same time, the later one sees the other.
+	discoveryRegister
+)
+
+// discoveryPlan decides which calls a node makes to find its peers. Each call is
+// paid for, and every node of a fleet starts. A node that reaches a peer through
+// its seeds therefore makes none. The relays of membership register, because
+// they know all nodes of their data centre, and one reachable registered node is
+// enough to join.
+type discoveryPlan struct {
+	random     *rand.Rand
+	registered bool
+	looked     bool
+	notBefore  time.Time
+	lastLook   time.Time
+	retry      time.Duration
+}
+
+func newDiscoveryPlan(now time.Time, firstStart bool, seed uint64) *discoveryPlan {
+	p := &discoveryPlan{random: rand.New(rand.NewPCG(seed, 2)), retry: discoveryRetryMin, notBefore: now}
+	if firstStart {
+		p.notBefore = now.Add(p.jitter(discoveryFirstWait))
+	}
+	return p
+}
+
+// jitter returns a duration between 50% and 150% of d.
+func (p *discoveryPlan) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(p.random.Int64N(int64(d)+1))
+}
+
+// next returns the call that is due. joined tells whether membership knows a
+// live peer, and relay whether this node is a relay.
+func (p *discoveryPlan) next(now time.Time, joined, relay bool) discoveryAction {
+	switch {
+	case now.Before(p.notBefore):
+		return discoveryIdle
+	case !joined && !p.looked:
+		return discoveryLook
+	case relay && !p.registered:
+		return discoveryRegister
+	case !joined, p.registered && now.Sub(p.lastLook) >= discoveryInterval:
+		return discoveryLook
+	default:
+		return discoveryIdle
+	}
+}
+
+// done takes the result of a call into account. found is the number of other
+// registered nodes.
+func (p *discoveryPlan) done(now time.Time, action discoveryAction, found int, err error) {
+	if err != nil {
+		p.notBefore, p.retry = now.Add(p.jitter(p.retry)), min(2*p.retry, discoveryRetryMax)
+		return
+	}
+	p.looked, p.lastLook = true, now
+	p.registered = p.registered || action == discoveryRegister
+	switch {
+	case found > 0:
+		p.notBefore, p.retry = now.Add(discoveryJoinWait), discoveryRetryMin
+	case p.registered:
+		p.notBefore, p.retry = now.Add(p.jitter(p.retry)), min(2*p.retry, discoveryRetryMax)
+	}
+}
+
 // discovery registers this node with the platform and passes the addresses of
-// the other registered nodes to membership.
+// the other registered nodes to membership, as its plan decides.
 type discovery struct {
 	node   *Node
 	client platform.Client
+	// version is the version of this node's own record, 0 if none is known, and
+	// current tells whether that record has the current incarnation.
+	version uint64
+	current bool
 }
 
-// run repeats discovery until ctx ends. Pauses are jittered by up to half of
-// their length.
+// run makes the calls that are due until ctx ends.
 func (d *discovery) run(ctx context.Context) {
-	retry := discoveryRetryMin
-	rounds := 0
+	plan := newDiscoveryPlan(time.Now(), d.node.settings.Load().Deployment.FirstStart, d.node.self.Incarnation)
 	for {
-		wait := discoveryInterval
-		if err := d.discover(ctx); err != nil {
-			wait, retry = retry, min(2*retry, discoveryRetryMax)
-		} else {
-			retry = discoveryRetryMin
-			if rounds++; rounds == 1 {
-				wait = discoverySecondDelay
-			}
+		joined := d.node.control.joined.Load()
+		if action := plan.next(time.Now(), joined, d.node.control.relay.Load()); action != discoveryIdle {
+			found, err := d.call(ctx, action)
+			plan.done(time.Now(), action, found, err)
+		}
+		wait := discoveryPoll
+		if joined {
+			wait = discoveryIdlePoll
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(wait/2 + rand.N(wait)):
+		case <-time.After(wait):
 		}
 	}
 }
 
-// discover registers this node if its current incarnation is not yet
-// registered, and passes the other registered nodes to membership. After a
-// registration the list is read again: of two nodes that start together, the
-// one that registers last then sees the other.
-func (d *discovery) discover(ctx context.Context) error {
-	version, current, err := d.readRegistrations(ctx)
-	if err != nil || current {
-		return err
-	}
-	if err := d.register(ctx, version); err != nil {
-		return err // the next round reads whether the record was written
+// call makes the calls of an action and returns the number of other registered
+// nodes.
+func (d *discovery) call(ctx context.Context, action discoveryAction) (found int, err error) {
+	if action == discoveryRegister && !d.current {
+		err := d.register(ctx)
+		if errors.Is(err, platform.ErrConflict) {
+			// An earlier process of this node has left its record.
+			if _, err = d.readRegistrations(ctx); err == nil && !d.current {
+				err = d.register(ctx)
+			}
+		}
+		if err != nil {
+			return 0, err // the next attempt reads whether the record was written
+		}
 	}
-	_, _, err = d.readRegistrations(ctx)
-	return err
+	return d.readRegistrations(ctx)
 }
 
-// readRegistrations reads the registered nodes and passes them to membership.
-// It returns the version of this node's own record, 0 if there is none, and
-// whether that record has the current incarnation.
-func (d *discovery) readRegistrations(ctx context.Context) (version uint64, current bool, err error) {
+// readRegistrations reads the registered nodes, passes them to membership and
+// returns how many others there are.
+func (d *discovery) readRegistrations(ctx context.Context) (others int, err error) {
 	objects, _, err := d.client.List(ctx, nodeKind)
 	if err != nil {
-		return 0, false, err
+		return 0, err
 	}
 	self := d.node.self
 	var found []fleet.Node
@@ -101,7 +187,7 @@
 			continue
 		}
 		if r.Node == self.ID {
-			version, current = o.Version, r.Incarnation == self.Incarnation
+			d.version, d.current = o.Version, r.Incarnation == self.Incarnation
 			continue
 		}
 		found = append(found, fleet.Node{
@@ -109,10 +195,10 @@
 		})
 	}
 	d.node.control.post(func() { d.node.control.probeUnknownNodes(found) })
-	return version, current, nil
+	return len(found), nil
 }
 
-func (d *discovery) register(ctx context.Context, version uint64) error {
+func (d *discovery) register(ctx context.Context) error {
 	self := d.node.self
 	value, err := json.Marshal(nodeRecord{
 		Node: self.ID, Region: self.Region, DataCentre: self.DataCentre, PeerAddr: self.PeerAddr, Incarnation: self.Incarnation,
@@ -120,7 +206,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = d.client.Put(ctx, nodeKind+"/"+string(self.ID), value, version)
+	if _, err = d.client.Put(ctx, nodeKind+"/"+string(self.ID), value, d.version); err == nil {
+		d.current = true
+	}
 	return err
 }
 
--- a/internal/node/evidence.go
+++ b/internal/node/evidence.go
@@ -109,7 +109,7 @@
 	d := c.evidenceDatagram(&controlv1.Evidence{Samples: samples})
 	for _, peer := range c.evidence.selectReceivers(peers, urgent) {
 		// A lost packet is not resent; the next one has newer data.
-		_ = c.transport.Send(peer.PeerAddr, d)
+		c.send(d, peer.PeerAddr)
 	}
 }
 
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -64,7 +64,7 @@
 				e.Loads = append(e.Loads, reportToProto(rest[0], now))
 			}
 			// A lost packet is not resent; the next one has newer data.
-			_ = c.transport.SendAll(to, c.evidenceDatagram(e))
+			c.send(c.evidenceDatagram(e), to...)
 		}
 	}
 }
@@ -97,7 +97,7 @@
 	c.loads.Receive(loadreport.Stage(e.GetStage()), reports)
 	if len(wanted) > 0 && now.Sub(c.wantedAt) >= wantInterval {
 		c.wantedAt = now
-		_ = c.transport.Send(from, c.evidenceDatagram(&controlv1.Evidence{WantedTargets: wanted}))
+		c.send(c.evidenceDatagram(&controlv1.Evidence{WantedTargets: wanted}), from)
 	}
 }
 
@@ -110,7 +110,7 @@
 		}
 	}
 	if len(d.Targets) > 0 {
-		_ = c.transport.Send(to, d)
+		c.send(d, to)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,7 +70,7 @@
 		},
 		log:     event.NewLogger(logger, event.Fields{"node": s.Node.ID, "dataCentre": s.Node.DataCentre}),
 		metrics: metric.NewSet(),
-		pool:    link.NewPool(link.DefaultConfig()),
+		pool:    link.NewPool(linkConfig(s)),
 	}
 	n.settings.Store(s)
 	n.adapter = adapter
@@ -118,6 +118,12 @@
 	return n, nil
 }
 
+func linkConfig(s *config.Settings) link.Config {
+	cfg := link.DefaultConfig()
+	cfg.DataCentre = s.Node.DataCentre
+	return cfg
+}
+
 // Run serves until ctx ends and then stops gracefully. The error tells why the
 // node could not start or had to stop.
 func (n *Node) Run(ctx context.Context) error {
@@ -153,7 +159,7 @@
 	} else {
 		// Requests through an adapter have no keys, so the node holds no
 		// leases.
-		group.Go(func() error { (&discovery{n, n.platform}).run(groupCtx); return nil })
+		group.Go(func() error { (&discovery{node: n, client: n.platform}).run(groupCtx); return nil })
 	}
 	n.log.Log(event.NodeStarted, event.Fields{"callers": n.self.CallerAddr, "peers": n.self.PeerAddr})
 
@@ -251,6 +257,17 @@
 	n.metrics.RegisterGauge("siskinvale_known_nodes", func() float64 { return float64(n.control.counts.Load().nodes) })
 	n.metrics.RegisterGauge("siskinvale_udp_sent_bytes", func() float64 { return n.control.udpCounter(sentBytes) })
 	n.metrics.RegisterGauge("siskinvale_udp_received_bytes", func() float64 { return n.control.udpCounter(receivedBytes) })
+	n.control.traffic.register(n.metrics)
+	for scope, traffic := range map[string]*link.Traffic{"own": &n.pool.Own, "other": &n.pool.Other} {
+		n.metrics.RegisterGauge(fmt.Sprintf("siskinvale_link_bytes{dataCentre=%q,direction=\"sent\"}", scope), func() float64 {
+			sent, _ := traffic.Bytes()
+			return float64(sent)
+		})
+		n.metrics.RegisterGauge(fmt.Sprintf("siskinvale_link_bytes{dataCentre=%q,direction=\"received\"}", scope), func() float64 {
+			_, received := traffic.Bytes()
+			return float64(received)
+		})
+	}
 	n.metrics.RegisterGauge("siskinvale_control_lag_seconds", func() float64 { return n.control.lag().Seconds() })
 }
 
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -66,7 +66,7 @@
 		}
 	}
 	if req.Idempotent && unitInterval(splitMix64(random+2)) < ExploreShare {
-		if c := p.explore(&req, t); c != nil {
+		if c := p.explore(&req, splitMix64(random+3), t); c != nil {
 			return Choice{c.endpoint, ReasonExplore}, true
 		}
 	}
@@ -219,25 +219,29 @@
 	return cost
 }
 
-// explore returns the target with the highest risk of failure among those whose
-// failure episode may have ended, or nil if there is none. Other requests avoid
-// such a target, so that without exploration its recovery would go unnoticed.
-func (p *Picker) explore(req *Request, now int64) *candidate {
-	var best *candidate
-	var highestRisk float64
+// explore returns a random target among those whose failure episode may have
+// ended or that have no outcomes yet, or nil if there is none. Other requests
+// avoid such a target, so that without exploration its recovery would go
+// unnoticed. The choice is random because all ingresses explore the same
+// targets. Targets in other data centres are left to the ingresses there while
+// the own data centre has targets to explore.
+func (p *Picker) explore(req *Request, random uint64, now int64) *candidate {
 	for _, list := range [][]candidate{p.local, p.remote} {
+		var found []*candidate
 		for i := range list {
 			c := &list[i]
 			if !c.useRisk || contains(req.Exclude, c.id) || req.LargeAnswer && !c.local {
 				continue
 			}
-			risk := c.endpoint.failureProbability(now)
-			if risk > exploreMinRisk && risk < exploreMaxRisk && risk > highestRisk {
-				best, highestRisk = c, risk
+			if risk := c.endpoint.failureProbability(now); risk > exploreMinRisk && risk < exploreMaxRisk {
+				found = append(found, c)
 			}
 		}
+		if len(found) > 0 {
+			return found[random%uint64(len(found))]
+		}
 	}
-	return best
+	return nil
 }
 
 // A target is explored if its risk is between exploreMinRisk and
--- a/internal/routing/standing_test.go
+++ b/internal/routing/standing_test.go
@@ -10,6 +10,7 @@
 	"siskinvale.dev/siskinvale/internal/fleet"
 	"siskinvale.dev/siskinvale/internal/health"
 	"siskinvale.dev/siskinvale/internal/routing"
+	"siskinvale.dev/siskinvale/internal/standing"
 )
 
 // A third of the targets have failure episodes while their health checks pass.
@@ -69,6 +70,25 @@
 		Expect(shares(routing.Request{Idempotent: true}, now)[id(0)]).To(BeNumerically("<", 0.01))
 	})
 
+	// Guards against added targets that get no requests for seconds: they have no
+	// outcomes, look riskier than the others, and whatever an ingress explores
+	// first takes all exploration.
+	It("explores all targets without outcomes alike, those of its own data centre first", func() {
+		// Targets 0, 4 and 8 are in the data centre of the ingress.
+		unknown := []int{0, 4, 2, 6}
+		for _, i := range unknown {
+			report(id(i), standing.Prior)
+		}
+		found := shares(routing.Request{Idempotent: true}, now)
+		for _, i := range unknown {
+			share := 0.0
+			if i%4 == 0 {
+				share = routing.ExploreShare / 2
+			}
+			Expect(found[id(i)]).To(BeNumerically("~", share, 0.015), "target %d", i)
+		}
+	})
+
 	// Guards against remote targets in good standing that get no requests while
 	// the local targets are busy.
 	It("uses all remote targets in good standing when the local ones are busy", func() {
