Bound the heads of answers that a target, a peer or the store sends

Change: heads with their interim answers are limited to 64 KB from targets and the store and to 128 KB between nodes.

--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -34,6 +34,10 @@
 // waits earlier.
 const expectContinueTimeout = 5 * time.Second
 
+// maxReplyHeadBytes bounds the head of a reply: that of a target's answer and
+// the fields of the link.
+const maxReplyHeadBytes = 128 << 10
+
 // DefaultConfig returns time limits with which a connection whose other end no
 // longer answers is closed within one second.
 func DefaultConfig() Config {
@@ -131,9 +135,10 @@
 		Protocols:   protocols,
 		// A sidecar either admits the call and reads its body, or refuses the
 		// call.
-		ExpectContinueTimeout: expectContinueTimeout,
-		DisableCompression:    true,
-		IdleConnTimeout:       cfg.IdleTimeout,
+		ExpectContinueTimeout:  expectContinueTimeout,
+		DisableCompression:     true,
+		IdleConnTimeout:        cfg.IdleTimeout,
+		MaxResponseHeaderBytes: maxReplyHeadBytes,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: cfg.PingInterval,
 			PingTimeout:     cfg.PingTimeout,
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -105,6 +105,8 @@
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: 8,
 			IdleConnTimeout:     90 * time.Second,
+			// The answers of the store have a few short headers.
+			MaxResponseHeaderBytes: 64 << 10,
 		}},
 	}
 }
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -39,6 +39,10 @@
 	// targetIdleTimeout is the time after which an idle connection is closed,
 	// because the target may already have closed its own side.
 	targetIdleTimeout = 30 * time.Second
+	// maxAnswerHeadBytes bounds the head of an answer, together with the interim
+	// answers before it. A target in trouble may send bytes without end, and
+	// net/http would hold up to 10 MB of them for each request.
+	maxAnswerHeadBytes = 64 << 10
 )
 
 // target is one target of this VM with its admission gate.
@@ -75,10 +79,11 @@
 		loggedTrusted: true,
 		client: &http.Client{
 			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
-				DisableCompression:  true,
-				MaxIdleConnsPerHost: info.Slots + spareConnections,
-				IdleConnTimeout:     targetIdleTimeout,
+				DialContext:            dialer.DialContext,
+				DisableCompression:     true,
+				MaxIdleConnsPerHost:    info.Slots + spareConnections,
+				IdleConnTimeout:        targetIdleTimeout,
+				MaxResponseHeaderBytes: maxAnswerHeadBytes,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
