--- a/internal/health/monitor.go
+++ b/internal/health/monitor.go
@@ -349,6 +349,9 @@
 // classes and from the path failures of attempts at the target.
 func (m *Monitor) updateSeverity(now time.Time, t *target) {
 	t.severity, t.lostFraction, t.reason, t.pathFault = 0, 0, "", false
+	if len(t.classes)+len(t.sources) == 0 {
+		return
+	}
 	for _, class := range sortedKeys(t.classes) {
 		e := t.classes[class]
 		for i, score := range e.scores {
@@ -375,7 +378,7 @@
 func (m *Monitor) updateDistrust(now time.Time) []Action {
 	type sourceCounts struct{ tried, failing, contradicted int }
 	countsBySource := map[fleet.NodeID]*sourceCounts{}
-	for _, t := range m.observedTargets() {
+	for _, t := range m.triedTargets() {
 		for id, s := range t.sources {
 			if now.Sub(s.lastTry) >= pathEvidenceMaxAge {
 				if now.Sub(s.lastTry) > 10*pathEvidenceMaxAge {
@@ -414,11 +417,16 @@
 	return actions
 }
 
-// observedTargets returns the targets of all active services.
-func (m *Monitor) observedTargets() []*target {
+// triedTargets returns the targets of all active services that nodes other than
+// their own have tried.
+func (m *Monitor) triedTargets() []*target {
 	var targets []*target
 	for _, s := range m.active {
-		targets = append(targets, s.targets...)
+		for _, t := range s.targets {
+			if len(t.sources) > 0 {
+				targets = append(targets, t)
+			}
+		}
 	}
 	return targets
 }
--- a/internal/health/verdict.go
+++ b/internal/health/verdict.go
@@ -105,13 +105,13 @@
 // are Healthy. Targets on probation do not count, because they receive little
 // traffic.
 func (s *service) enforceFloor(now time.Time) []Action {
-	var serving, toEject, outOfTraffic []*target
-	healthy := 0
+	var toEject, outOfTraffic []*target
+	serving, healthy := 0, 0
 	for _, t := range s.targets {
 		if t.record.State != fleet.TargetServing {
 			continue
 		}
-		serving = append(serving, t)
+		serving++
 		switch {
 		case t.verdict.State != Healthy:
 			outOfTraffic = append(outOfTraffic, t)
@@ -122,7 +122,7 @@
 			healthy++
 		}
 	}
-	floor := min(s.effectiveFloor(len(serving)), len(serving))
+	floor := min(s.effectiveFloor(serving), serving)
 	// The targets to eject are ordered from the largest loss to the smallest,
 	// those out of traffic from the smallest to the largest.
 	slices.SortStableFunc(toEject, func(a, b *target) int {
@@ -152,7 +152,7 @@
 	for _, t := range toEject {
 		t.holdInTraffic(floor)
 	}
-	return append(actions, s.reportFloor(floor, len(serving))...)
+	return append(actions, s.reportFloor(floor, serving)...)
 }
 
 // effectiveFloor returns the floor of a service with n serving targets. For a
