Read the configuration at once after a restart if the node has none

Cause: after all processes were killed, the nodes that are not readers asked peers that had nothing yet, backed off and read the store after 1.5 s. Change: rollout.Config.ReadWithoutBundle, set with an adapter unless the whole fleet starts for the first time: a node without a bundle reads the platform after ReadDelay. The spec fails without it (not in force after 400 ms).

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -73,6 +73,9 @@
 		cfg.ReadDelay, cfg.MaxBackoff = adapterReadDelay, adapterRetryMax
 		if n.settings.Load().Deployment.FirstStart {
 			cfg.ReadDelay = adapterFirstReadDelay
+		} else {
+			// Callers wait.
+			cfg.ReadWithoutBundle = true
 		}
 	}
 	return cfg
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -48,6 +48,10 @@
 	// peers. Without this delay, all nodes of a fleet that starts at once would
 	// read the platform. A negative value means no delay.
 	ReadDelay time.Duration
+	// ReadWithoutBundle makes a node that has no bundle in force read the
+	// platform after ReadDelay also if it is not a reader. When all nodes of a
+	// fleet start again, their peers have nothing to give.
+	ReadWithoutBundle bool
 	// MaxBackoff is the maximum back-off between platform calls, before jitter.
 	MaxBackoff time.Duration
 	// FetchTimeout is the time after which a fetch counts as failed and another
--- a/internal/rollout/cluster_test.go
+++ b/internal/rollout/cluster_test.go
@@ -63,6 +63,7 @@
 // cluster simulates rollout machines, membership and the platform in virtual
 // time.
 type cluster struct {
+	cfg        rollout.Config // of all nodes, without data centre and seed
 	now        time.Time
 	random     *rand.Rand
 	store      *platform.Memory
@@ -154,7 +155,9 @@
 func (c *cluster) start(n *node) {
 	n.up, n.frozen, n.ready, n.version, n.backlog = true, false, false, 0, nil
 	n.record.Incarnation = uint64(c.now.UnixNano())
-	n.machine = rollout.New(n.record.ID, verifier{}, rollout.Config{DataCentre: n.record.DataCentre, Seed: c.random.Uint64()})
+	cfg := c.cfg
+	cfg.DataCentre, cfg.Seed = n.record.DataCentre, c.random.Uint64()
+	n.machine = rollout.New(n.record.ID, verifier{}, cfg)
 	for _, other := range c.nodes {
 		if other != n && other.up && other.machine != nil {
 			c.sendNodeState(other, n)
--- a/internal/rollout/platform.go
+++ b/internal/rollout/platform.go
@@ -4,7 +4,8 @@
 
 // callPlatform starts the platform call that is due, if any. A reader reads
 // once and then watches continuously. Other nodes read at startup if too few
-// peers answer, and afterwards once per FallbackReadInterval.
+// peers answer or Config.ReadWithoutBundle is set, and afterwards once per
+// FallbackReadInterval.
 func (m *Machine) callPlatform() {
 	p := &m.platform
 	if p.inFlight && !m.now.Before(p.expires) {
@@ -20,7 +21,7 @@
 		m.stats.PlatformWatches++
 		m.platformCallStarted()
 		m.emit(WatchPlatform{p.revision})
-	case m.reader, m.startupStalled(), !m.now.Before(p.nextFallbackRead):
+	case m.reader, m.startupStalled(), m.readsWithoutBundle(), !m.now.Before(p.nextFallbackRead):
 		m.readPlatform()
 	}
 }
@@ -31,6 +32,12 @@
 	return !m.startup.enoughAnswers && m.now.Sub(m.startup.startedAt) >= m.cfg.StartupTimeout/2
 }
 
+// readsWithoutBundle reports whether the node reads the platform because it has
+// no bundle in force.
+func (m *Machine) readsWithoutBundle() bool {
+	return m.cfg.ReadWithoutBundle && m.inForce.Version == 0 && !m.platform.readDone
+}
+
 func (m *Machine) readPlatform() {
 	m.stats.PlatformReads++
 	m.platform.nextFallbackRead = m.now.Add(m.jitter(m.cfg.FallbackReadInterval))
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -55,6 +55,36 @@
 		Expect(readers).To(Equal(8))
 	})
 
+	// Guards against a fleet that refuses requests for one to two seconds after
+	// all its processes were killed: the nodes that are not readers asked peers
+	// that had nothing yet, and backed off.
+	It("has the version in force on all nodes at once when all of them start again", func() {
+		c := newCluster(4, 30, 3, failSpec)
+		c.cfg = rollout.Config{Readers: 1, MinReaders: 6, ReadDelay: 20 * time.Millisecond, ReadWithoutBundle: true}
+		publish(c, 1, "a", "b")
+		Expect(c.runUntil(5*time.Second, c.inForce(1))).To(BeTrue())
+		for _, n := range c.nodes {
+			n.up = false
+		}
+		c.run(time.Second)
+		for _, n := range c.nodes {
+			c.start(n)
+		}
+		// They know each other, but no peer answers in time.
+		c.run(10 * time.Millisecond)
+		for a := range c.nodes {
+			for b := range c.nodes {
+				c.cut[[2]int{a, b}] = true
+			}
+		}
+		Expect(c.runUntil(400*time.Millisecond, c.inForce(1))).To(BeTrue())
+		reads := uint64(0)
+		for _, n := range c.nodes {
+			reads += n.machine.Stats().PlatformReads
+		}
+		Expect(reads).To(BeNumerically("<=", len(c.nodes)))
+	})
+
 	It("transfers only the pieces that changed", func() {
 		c := newCluster(2, 10, 2, failSpec)
 		big := func(s string) string { return strings.Repeat(s, 10_000) }
