Let requests wait for the configuration of a process that has just started

Cause: a restarted node reads its configuration some 25 ms after its start. Change: ingress.Config.StartWait: in the first 500 ms of a process with an adapter requests wait for the first bundle; afterwards they are refused at once, as before. Spec in internal/ingress.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -70,6 +70,9 @@
 	// FleetRetryBudget is the retry budget of the whole fleet. The zero value
 	// selects a separate budget for each class on this node.
 	FleetRetryBudget FleetRetryBudget
+	// StartWait is how long after New requests wait for the first bundle instead
+	// of being refused. Callers keep sending while a process is replaced.
+	StartWait time.Duration
 }
 
 // Ingress serves the requests of callers on one node. It is safe for concurrent
@@ -87,6 +90,11 @@
 	// service.
 	callsPerRun sync.Map
 	protocol    callerProtocol
+	// firstBundle is closed when the first view with a bundle is set.
+	firstBundle     chan struct{}
+	firstBundleOnce sync.Once
+	// startWaitEnd is closed when Config.StartWait is over.
+	startWaitEnd chan struct{}
 	// closed makes a configured FrontEnd refuse new requests because the
 	// process is about to exit.
 	closed atomic.Bool
@@ -99,7 +107,9 @@
 
 // New returns an ingress that refuses all requests until SetView is called.
 func New(cfg Config) *Ingress {
-	in := &Ingress{cfg: cfg, tenants: newTenantLimiter(), budgets: newBudgets(cfg.FleetRetryBudget, cfg.Clock), paths: newPathEvidence()}
+	in := &Ingress{cfg: cfg, tenants: newTenantLimiter(), budgets: newBudgets(cfg.FleetRetryBudget, cfg.Clock), paths: newPathEvidence(),
+		firstBundle: make(chan struct{}), startWaitEnd: make(chan struct{})}
+	time.AfterFunc(cfg.StartWait, func() { close(in.startWaitEnd) })
 	in.view.Store(&View{})
 	in.protocol = nativeProtocol{in}
 	if cfg.FrontEnd != nil {
@@ -112,6 +122,19 @@
 func (in *Ingress) SetView(v *View) {
 	in.budgets.setNodeCount(len(v.Nodes))
 	in.view.Store(v)
+	if v.Bundle != nil {
+		in.firstBundleOnce.Do(func() { close(in.firstBundle) })
+	}
+}
+
+// awaitFirstBundle returns when a bundle is in force, when Config.StartWait is
+// over, or when the caller has left.
+func (in *Ingress) awaitFirstBundle(ctx context.Context) {
+	select {
+	case <-in.firstBundle:
+	case <-in.startWaitEnd:
+	case <-ctx.Done():
+	}
 }
 
 // View returns the current view.
@@ -128,6 +151,7 @@
 	inFlight := in.inFlight.Add(1)
 	defer in.inFlight.Add(-1)
 	start := in.cfg.Clock()
+	in.awaitFirstBundle(r.Context())
 	req, problem := in.protocol.classify(r, start)
 	if problem == nil && inFlight > in.cfg.InFlight {
 		problem = req.problemBeforeAttempt(http.StatusServiceUnavailable, "the node holds its largest number of requests")
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -154,6 +154,7 @@
 // testIngress is an ingress that forwards to three targets with scripted
 // replies.
 type testIngress struct {
+	config ingress.Config
 	in     *ingress.Ingress
 	remote *scriptedRemote
 	owners *fakeOwners
@@ -174,6 +175,7 @@
 		Metrics: metric.NewSet(), Clock: time.Now, InFlight: 100,
 	}
 	change(&cfg)
+	s.config = cfg
 	s.in = ingress.New(cfg)
 	self := fleet.Node{ID: "self", DataCentre: "dc1"}
 	nodes := map[fleet.NodeID]fleet.Node{}
@@ -470,6 +472,30 @@
 		Expect(w.Header().Get("Siskinvale-Outcome")).To(Equal("not-run"))
 	})
 
+	// Guards against requests that are refused while a restarted process reads
+	// its configuration: callers on connections to its predecessor come at once.
+	It("lets requests wait for the first bundle of a new process, and no longer than StartWait", func() {
+		s := newTestIngressWith(func(cfg *ingress.Config) { cfg.StartWait = time.Minute }, answered("ok"))
+		view := s.in.View()
+		s.in.SetView(&ingress.View{})
+		Expect(s.send("GET", "/kits/1", "").Code).NotTo(Equal(200), "a node that lost its bundle does not wait")
+
+		cfg := s.config
+		cfg.StartWait = time.Minute
+		s.in = ingress.New(cfg)
+		time.AfterFunc(50*time.Millisecond, func() { s.in.SetView(view) })
+		Expect(s.send("GET", "/kits/1", "").Code).To(Equal(200))
+
+		cfg.StartWait = 50 * time.Millisecond
+		s.in = ingress.New(cfg)
+		start := time.Now()
+		Expect(s.send("GET", "/kits/1", "").Code).To(Equal(503))
+		Expect(time.Since(start)).To(BeNumerically(">=", cfg.StartWait))
+		start = time.Now()
+		Expect(s.send("GET", "/kits/1", "").Code).To(Equal(503))
+		Expect(time.Since(start)).To(BeNumerically("<", cfg.StartWait))
+	})
+
 	It("does not forward hop-by-hop headers", func() {
 		s := newTestIngress(func(c *link.Call) *link.Reply {
 			r := answered("ok")(c)
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -56,6 +56,10 @@
 	// time, and no caller waits yet. By then most nodes have peers and know
 	// whether they are readers.
 	adapterFirstReadDelay = 2500 * time.Millisecond
+	// adapterStartWait is how long a new process lets requests wait for its
+	// configuration, which it reads within some tens of milliseconds while the
+	// store answers.
+	adapterStartWait = 500 * time.Millisecond
 	// adapterRetryMax limits the back-off between reads, so that a changed
 	// configuration is in force within two seconds after an outage of the
 	// store.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,6 +104,7 @@
 	if adapter != nil {
 		n.sidecar.SetDialect(adapter.Dialect(), n.log)
 		ingressConfig.FrontEnd, ingressConfig.UncountedRefusals = adapter.FrontEnd(), true
+		ingressConfig.StartWait = adapterStartWait
 		ingressConfig.LocalRuns = func() ingress.LocalRuns {
 			return ingress.LocalRuns{Active: n.sidecar.ActiveRuns(), IdempotentStarted: n.sidecar.IdempotentStarted(), RetryShare: n.sidecar.RetryShare()}
 		}
