--- a/internal/node/view_test.go
+++ b/internal/node/view_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"time"
@@ -25,6 +26,14 @@
 func (testAdapter) FrontEnd() ingress.FrontEnd      { return nil }
 func (testAdapter) Dialect() sidecar.Dialect        { return nil }
 
+func (testAdapter) ReadConfiguration(context.Context, platform.Client) ([]byte, uint64, error) {
+	return nil, 0, platform.ErrUnavailable
+}
+
+func (testAdapter) WatchConfiguration(context.Context, platform.Client, uint64) ([]byte, uint64, error) {
+	return nil, 0, platform.ErrUnavailable
+}
+
 // newTestControl returns the control state of a node that is not running. The
 // test takes the place of the control goroutine.
 func newTestControl() *control {
