Match answers of targets without a dialect to their request

On a connection that is in use again, net/http takes a late second copy for the next answer. With an adapter the attempt ID prevents that; the product's own protocol had nothing to compare. Change: a target that returns Siskinvale-Request-Id keeps its connections, and an answer with another ID ends the connection with an unknown outcome; to other targets each call opens a new connection. The stand-in target returns the ID.

--- a/internal/link/replay.go
+++ b/internal/link/replay.go
@@ -32,15 +32,19 @@
 // connection. Before the header is written, the receiver cannot have run the
 // request.
 type SentTrace struct {
-	sent atomic.Bool
-	conn atomic.Pointer[net.Conn]
+	sent   atomic.Bool
+	reused atomic.Bool
+	conn   atomic.Pointer[net.Conn]
 }
 
 // Context returns a context for the request that is to be traced.
 func (t *SentTrace) Context(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteHeaders: func() { t.sent.Store(true) },
-		GotConn:      func(info httptrace.GotConnInfo) { t.conn.Store(&info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			t.conn.Store(&info.Conn)
+			t.reused.Store(info.Reused)
+		},
 	})
 }
 
@@ -53,5 +57,8 @@
 	}
 }
 
+// Reused reports whether the connection carried an earlier request.
+func (t *SentTrace) Reused() bool { return t.reused.Load() }
+
 // Sent reports whether the request may have reached the receiver.
 func (t *SentTrace) Sent() bool { return t.sent.Load() }
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -12,8 +15,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"context"
-
 	"siskinvale.dev/siskinvale/internal/fleet"
 	"siskinvale.dev/siskinvale/internal/sidecar"
 )
@@ -129,3 +130,92 @@
 		}
 	})
 })
+
+// startRepeatingTarget answers each request with its path. On a connection that
+// is in use again it first sends a second copy of the previous answer. echo makes
+// it return the request ID.
+func startRepeatingTarget(echo bool) (addr string, connections *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	connections = new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer conn.Close()
+				previous := ""
+				for requests := bufio.NewReader(conn); ; {
+					r, err := http.ReadRequest(requests)
+					if err != nil {
+						return
+					}
+					id := ""
+					if echo {
+						id = "Siskinvale-Request-Id: " + r.Header.Get("Siskinvale-Request-Id") + "\r\n"
+					}
+					answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", id, len(r.URL.Path), r.URL.Path)
+					_, _ = io.WriteString(conn, previous+answer)
+					if previous = answer; r.Close {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), connections
+}
+
+// Guards against an answer that reaches the caller of another request: a target
+// sent a second copy late, when its connection was in use again.
+var _ = DescribeTable("A target that sends answers twice never answers another caller's request",
+	func(echo bool) {
+		addr, connections := startRepeatingTarget(echo)
+		s := newSidecar(addr, nil)
+		answered := 0
+		for i := range 20 {
+			call := lookup(time.Second)
+			call.RequestID, call.Path = fmt.Sprintf("r%d", i), fmt.Sprintf("/kits/%d", i)
+			reply := s.Forward(context.Background(), call)
+			body, err := io.ReadAll(reply.Body)
+			reply.Body.Close()
+			if reply.Outcome == fleet.Answered && err == nil {
+				answered++
+				Expect(string(body)).To(Equal(call.Path))
+				Expect(reply.Header).NotTo(HaveKey("Siskinvale-Request-Id"))
+			}
+		}
+		Expect(answered).To(BeNumerically(">=", 10))
+		Expect(connections.Load()).To(BeNumerically(">=", 10))
+	},
+	Entry("with the request ID in its answers", true),
+	Entry("without", false),
+)
+
+var _ = Describe("Connections to targets without a dialect", func() {
+	It("are kept if the answers return the request ID", func() {
+		var connections atomic.Int64
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Siskinvale-Request-Id", r.Header.Get("Siskinvale-Request-Id"))
+			_, _ = io.WriteString(w, "ok")
+		}))
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				connections.Add(1)
+			}
+		}
+		server.Start()
+		DeferCleanup(server.Close)
+		s := newSidecar(server.Listener.Addr().String(), nil)
+		for range 20 {
+			reply := s.Forward(context.Background(), lookup(time.Second))
+			Expect(io.ReadAll(reply.Body)).To(Equal([]byte("ok")))
+			reply.Body.Close()
+		}
+		Expect(connections.Load()).To(BeNumerically("<=", 2))
+	})
+})
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -54,6 +54,11 @@
 	clock    func() time.Time
 	dialect  Dialect // nil: plain HTTP with the fleet's own headers
 	log      *event.Logger
+	// echoes is set while the target, which has no dialect, returns the request
+	// ID in its answers. Only then are its connections kept: a second copy of an
+	// answer may arrive after the connection is in use again, and only the ID
+	// tells it from the answer that is expected.
+	echoes atomic.Bool
 
 	mu              sync.Mutex
 	standing        *standing.Tracker
@@ -259,6 +264,11 @@
 		if reply := t.notExecutedReply(call, kind, resp, &sent, end); reply != nil {
 			return reply
 		}
+	} else if !t.ownAnswer(resp, call, sent.Reused()) {
+		sent.CloseConn()
+		resp.Body.Close()
+		end(truncated, "foreign answer")
+		return link.MayHaveRun(call, reasonOtherRequest)
 	} else if !framed(resp, req.Method) {
 		resp.Body.Close()
 		end(truncated, "unframed")
@@ -278,6 +288,16 @@
 	}
 }
 
+// ownAnswer reports whether an answer of a target without a dialect belongs to
+// the call, and learns whether the target returns the request ID. The ID is
+// removed from the answer.
+func (t *target) ownAnswer(resp *http.Response, call *link.Call, reusedConn bool) bool {
+	id := resp.Header.Get(link.HeaderRequestID)
+	resp.Header.Del(link.HeaderRequestID)
+	t.echoes.Store(id == call.RequestID)
+	return id == call.RequestID || id == "" && !reusedConn
+}
+
 // notExecutedReply returns the reply to a call if, by the header of the answer,
 // the target shed the request, or the answer came from another target or
 // belongs to another request. It returns nil if the answer belongs to the
@@ -324,6 +344,7 @@
 		return req, nil
 	}
 	req.Header.Set(link.HeaderRequestID, call.RequestID)
+	req.Close = !t.echoes.Load()
 	req.Header.Set(link.HeaderTenant, call.Tenant)
 	left := item.Deadline.Sub(t.clock()).Milliseconds()
 	req.Header.Set(link.HeaderTimeout, strconv.FormatInt(left, 10)+"ms")
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -200,6 +200,7 @@
 // handleRequest waits for a slot, simulates the run of one request and answers
 // the request.
 func (t *Target) handleRequest(c echo.Context) error {
+	c.Response().Header().Set("Siskinvale-Request-Id", c.Request().Header.Get("Siskinvale-Request-Id"))
 	t.inFlight.Add(1)
 	defer t.inFlight.Add(-1)
 	t.count(func(n *TargetCalls) { n.Requests++ })
