Read the store for a late configuration also beside a watch in flight

Cause: a reader whose watch waits on a connection that has gone silent made no other call until the watch was given up, up to 45 s. Change: the read for a version that is known for 600 ms does not wait for the watch. Spec that fails without it.

--- a/internal/rollout/platform.go
+++ b/internal/rollout/platform.go
@@ -11,6 +11,11 @@
 	if p.inFlight && !m.now.Before(p.expires) {
 		m.platformCallFailed()
 	}
+	if m.behindTooLong() {
+		// A watch in flight may wait on a connection that has gone silent.
+		m.readPlatform()
+		return
+	}
 	elapsed := m.now.Sub(m.startup.startedAt)
 	if p.inFlight || m.now.Before(p.nextCall) || elapsed < m.cfg.ReadDelay {
 		return
@@ -21,7 +26,7 @@
 		m.stats.PlatformWatches++
 		m.platformCallStarted()
 		m.emit(WatchPlatform{p.revision})
-	case m.reader, m.startupStalled(), m.readsWithoutBundle(), m.behindTooLong(), !m.now.Before(p.nextFallbackRead):
+	case m.reader, m.startupStalled(), m.readsWithoutBundle(), !m.now.Before(p.nextFallbackRead):
 		m.readPlatform()
 	}
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -117,6 +119,24 @@
 		}
 	})
 
+	// Guards against a reader that waits for a watch whose connection has gone
+	// silent while its peers report a new version.
+	It("reads the platform beside a watch that does not return", func() {
+		m := rollout.New("n1", verifier{}, rollout.Config{DataCentre: "dc", Readers: 1, ReadDelay: -1, BehindReadDelay: 600 * time.Millisecond})
+		now := time.Unix(1_700_000_000, 0)
+		has := func(wanted rollout.Action, actions []rollout.Action) bool {
+			return slices.ContainsFunc(actions, func(a rollout.Action) bool { return reflect.TypeOf(a) == reflect.TypeOf(wanted) })
+		}
+		Expect(has(rollout.ReadPlatform{}, m.Step(now, rollout.Tick{}))).To(BeTrue())
+		m.Step(now, rollout.PlatformRead{Revision: 1})
+		now = now.Add(5 * time.Second)
+		Expect(has(rollout.WatchPlatform{}, m.Step(now, rollout.Tick{}))).To(BeTrue())
+		m.Step(now, rollout.NodeChanged{Node: fleet.Node{ID: "n2", DataCentre: "dc", BundleVersion: 5}})
+		Expect(has(rollout.ReadPlatform{}, m.Step(now.Add(500*time.Millisecond), rollout.Tick{}))).To(BeFalse())
+		Expect(has(rollout.ReadPlatform{}, m.Step(now.Add(700*time.Millisecond), rollout.Tick{}))).To(BeTrue())
+		Expect(has(rollout.ReadPlatform{}, m.Step(now.Add(800*time.Millisecond), rollout.Tick{}))).To(BeFalse(), "once per delay")
+	})
+
 	It("transfers only the pieces that changed", func() {
 		c := newCluster(2, 10, 2, failSpec)
 		big := func(s string) string { return strings.Repeat(s, 10_000) }
