--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -1,6 +1,12 @@
 package fleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// Unlimited is the rate limit of a target that states none.
+var Unlimited = math.Inf(1)
 
 // TargetState is the state of a target as published by its sidecar.
 type TargetState uint8
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -20,6 +20,11 @@
 	HeaderRequestID      = "Siskinvale-Request-Id"
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderTraceparent    = "Traceparent"
+	// HeaderRateLimit and HeaderLeaving are headers of targets' answers: the
+	// requests per second that the target accepts from all nodes together, and
+	// that it is about to stop.
+	HeaderRateLimit = "Siskinvale-Rate-Limit"
+	HeaderLeaving   = "Siskinvale-Leaving"
 )
 
 // Headers between nodes. They carry the fields of Call and Reply.
--- a/internal/sidecar/dialect.go
+++ b/internal/sidecar/dialect.go
@@ -17,6 +17,9 @@
 	// Classify determines from the header of an answer whether the target ran
 	// the request, and whether the answer belongs to it.
 	Classify(resp *http.Response, t fleet.Target, call *link.Call) AnswerKind
+	// Notice reads from the header of an answer what the target states about
+	// itself. A malformed statement is an error.
+	Notice(h http.Header) (Notice, error)
 }
 
 // AnswerKind is the classification of a target's answer by its header.
--- a/internal/sidecar/standing_test.go
+++ b/internal/sidecar/standing_test.go
@@ -25,6 +25,11 @@
 
 func (headerDialect) Prepare(http.Header, fleet.Target, *link.Call, time.Duration) {}
 
+func (headerDialect) Notice(h http.Header) (sidecar.Notice, error) {
+	limit, err := sidecar.ParseRateLimit(h.Get("Rate-Limit"))
+	return sidecar.Notice{RateLimit: limit, Leaving: h.Get("Leaving") != ""}, err
+}
+
 func (headerDialect) Classify(resp *http.Response, _ fleet.Target, _ *link.Call) sidecar.AnswerKind {
 	switch resp.Header.Get("Answer-Kind") {
 	case "shed":
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -68,6 +68,10 @@
 	// loggedTrusted is whether the target was in good standing at the last
 	// logged change.
 	loggedTrusted bool
+
+	rates rateMonitor
+	// saidLeaving is set once an answer stated that the target is leaving.
+	saidLeaving atomic.Bool
 }
 
 // newTarget returns a target with an empty queue. A target without a dialect
@@ -220,6 +224,16 @@
 	}
 }
 
+// report logs an event about the target. Targets without a dialect have no
+// logger.
+func (t *target) report(e event.Event, fields event.Fields) {
+	if t.log == nil {
+		return
+	}
+	fields["target"] = t.record().ID
+	t.log.Log(e, fields)
+}
+
 func (t *target) logRefused(call *link.Call, reply *link.Reply) {
 	if t.log == nil {
 		return
@@ -253,6 +267,9 @@
 		t.recordOutcome(call, outcome, detail)
 		release()
 	}
+	if fields := t.rates.sent(kindOfArrival(call), t.clock()); fields != nil {
+		t.report(event.TargetOverLimit, fields)
+	}
 	resp, err := t.client.Do(req)
 	if err != nil {
 		end(outcomeOfError(ctx, err), err.Error())
@@ -261,6 +278,9 @@
 	kind := Executed
 	if t.dialect != nil {
 		kind = t.dialect.Classify(resp, *t.record(), call)
+		if kind == Executed || kind == TimedOut || kind == Shed {
+			t.observeNotice(resp.Header)
+		}
 		if reply := t.notExecutedReply(call, kind, resp, &sent, end); reply != nil {
 			return reply
 		}
@@ -274,6 +294,9 @@
 		end(truncated, "unframed")
 		return link.MayHaveRun(call, "the target's answer has no length and no chunks, so its end cannot be recognised")
 	}
+	if t.dialect == nil {
+		t.observeNotice(resp.Header)
+	}
 	t.evidence.recordProgress(active, t.clock())
 	return &link.Reply{
 		AttemptID: call.AttemptID, Outcome: fleet.Answered, Sent: true,
