--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -28,6 +28,9 @@
 	// of the run time, with a Content-Length.
 	minStreamedBytes = 64 << 10
 	chunkBytes       = 32 << 10
+	// arrivalWindow is the span in which arriving requests are counted for
+	// TargetCalls.MostInWindow.
+	arrivalWindow = 4 * time.Second
 )
 
 // Errors of requests that end without a complete answer.
@@ -86,6 +89,9 @@
 	Probes     int64 `json:"probes"`
 	RunsNow    int   `json:"runsNow"`
 	MostAtOnce int64 `json:"mostAtOnce"`
+	// MostInWindow is the largest number of requests that arrived within
+	// arrivalWindow since the fault switches were last set.
+	MostInWindow int `json:"mostInWindow"`
 }
 
 // Target is the stand-in for a target. It simulates the run of requests to any
@@ -103,6 +109,9 @@
 	mu          sync.Mutex
 	faultsSetAt time.Time // when the fault switches were last set, or the start
 	calls       TargetCalls
+	// arrivals are the times of the requests within the last arrivalWindow,
+	// oldest first.
+	arrivals []time.Time
 	httpRouter  *echo.Echo
 }
 
@@ -151,9 +160,21 @@
 	t.mu.Unlock()
 }
 
+// recordArrival updates TargetCalls.MostInWindow.
+func (t *Target) recordArrival(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for len(t.arrivals) > 0 && now.Sub(t.arrivals[0]) >= arrivalWindow {
+		t.arrivals = t.arrivals[1:]
+	}
+	t.arrivals = append(t.arrivals, now)
+	t.calls.MostInWindow = max(t.calls.MostInWindow, len(t.arrivals))
+}
+
 func (t *Target) faultsChanged(c echo.Context, old, current TargetFaults) {
 	t.mu.Lock()
 	t.faultsSetAt = time.Now()
+	t.arrivals, t.calls.MostInWindow = nil, 0
 	t.mu.Unlock()
 	log := t.cfg.Log.WithFields(logrus.Fields{"old": fmt.Sprintf("%+v", old), "new": fmt.Sprintf("%+v", current)})
 	if l := t.listener.Load(); l != nil && current.SilentConnections {
@@ -204,7 +225,14 @@
 	t.inFlight.Add(1)
 	defer t.inFlight.Add(-1)
 	t.count(func(n *TargetCalls) { n.Requests++ })
+	t.recordArrival(time.Now())
 	faults := t.faults.get()
+	if faults.RateLimit > 0 {
+		c.Response().Header().Set("Siskinvale-Rate-Limit", strconv.FormatFloat(faults.RateLimit, 'g', -1, 64))
+	}
+	if faults.Leaving {
+		c.Response().Header().Set("Siskinvale-Leaving", "1")
+	}
 	if t.sampler.selects(faults.ShedFraction) {
 		t.count(func(n *TargetCalls) { n.Shed++ })
 		c.Response().Header().Set("Retry-After", "1")
--- a/internal/standin/target_faults.go
+++ b/internal/standin/target_faults.go
@@ -35,6 +35,12 @@
 	// SilentConnections stops serving the connections that are open when the
 	// switch is set, without closing them. New connections work.
 	SilentConnections bool `json:"silentConnections"`
+	// RateLimit makes the target state in all answers that it accepts this many
+	// requests per second from all nodes together; 0 states no limit. It serves
+	// requests beyond the limit as well.
+	RateLimit float64 `json:"rateLimit"`
+	// Leaving makes the target state in all answers that it is about to stop.
+	Leaving bool `json:"leaving"`
 }
 
 // coldStartFactor is the run time right after a cold start as a multiple of the
