Keep the rate limit that a target states, at its sidecar

Seen: targets that stated 1 to 7 requests a second got up to 70 in four seconds. Cause: the gate of a target admitted by free slots alone; nothing on the path read the limit. Class of the fault: a condition of the receiver that arrives with answers and that no owner of the state enforces. Change: the sidecar, the only door to its target, holds the limit and starts requests by a token bucket: retries, nested calls and queued requests included. What the limit makes late is refused at once with the time to come back. Loads carry the limit and the wait, so that ingresses choose by them; ingresses remember the limit beyond the restart of a sidecar and hand it over with each call, before the new process has got an answer. Open: in the overload that follows, requests still wait long before they are refused. The spec that drove 2,806 requests in four seconds passes.

--- a/internal/admission/api.go
+++ b/internal/admission/api.go
@@ -35,7 +35,8 @@
 	Weight int
 }
 
-// Event is an input of the Queue: Arrive, Finish, Cancel, Drain or Tick.
+// Event is an input of the Queue: Arrive, Finish, Cancel, Drain, Tick or
+// SetRateLimit.
 type Event interface{ event() }
 
 // Arrive asks for a slot.
@@ -49,20 +50,27 @@
 	RunTime time.Duration
 }
 
-// Cancel removes an item. If the item was started, its slot becomes free.
+// Cancel removes an item that is not run. If the item was started, its slot
+// becomes free and its start does not count towards the rate limit.
 type Cancel struct{ ID uint64 }
 
 // Drain refuses all later arrivals. Queued and started items are not affected.
 type Drain struct{}
 
-// Tick refuses queued items whose deadline can no longer be met.
+// Tick refuses queued items whose deadline can no longer be met, and starts
+// items that the rate limit lets start by now.
 type Tick struct{}
 
-func (Arrive) event() {}
-func (Finish) event() {}
-func (Cancel) event() {}
-func (Drain) event()  {}
-func (Tick) event()   {}
+// SetRateLimit limits how many items start per second. With 0 there is no
+// limit.
+type SetRateLimit struct{ PerSecond float64 }
+
+func (Arrive) event()       {}
+func (Finish) event()       {}
+func (Cancel) event()       {}
+func (Drain) event()        {}
+func (Tick) event()         {}
+func (SetRateLimit) event() {}
 
 // Action is an output of the Queue: Start or Refuse.
 type Action interface{ action() }
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -20,6 +20,9 @@
 	running  int
 	draining bool
 	idle     chan struct{}
+	// wake is set while a timer is running that starts queued items when the
+	// rate limit allows it.
+	wake bool
 }
 
 // NewGate returns a Gate with a new Queue that reads the time from clock.
@@ -66,7 +69,7 @@
 func (g *Gate) TryAcquire(item Item) (release func(), ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.queue.HasFreeSlot() {
+	if !g.queue.HasFreeSlot(g.clock()) {
 		return nil, false
 	}
 	g.lastID++
@@ -136,6 +139,7 @@
 			g.notify(a.ID, &RefusedError{Reason: a.Reason, RetryAfter: a.RetryAfter})
 		}
 	}
+	g.armWake()
 	if g.draining && g.running == 0 && len(g.waiting) == 0 {
 		select {
 		case <-g.idle:
@@ -145,6 +149,32 @@
 	}
 }
 
+// armWake starts a timer for the next item that waits for the rate limit alone;
+// no other event may come before it. The caller holds the lock.
+func (g *Gate) armWake() {
+	if g.wake {
+		return
+	}
+	delay, ok := g.queue.NextStart(g.clock())
+	if !ok {
+		return
+	}
+	g.wake = true
+	time.AfterFunc(delay, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.wake = false
+		g.step(Tick{})
+	})
+}
+
+// SetRateLimit limits how many items start per second; 0 removes the limit.
+func (g *Gate) SetRateLimit(perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.step(SetRateLimit{perSecond})
+}
+
 // notify passes the decision about an item to its request. A nil refused means
 // that the item was started.
 func (g *Gate) notify(id uint64, refused *RefusedError) {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -120,6 +120,7 @@
 	// background item last started or none was queued.
 	starts  [2]int
 	demand  demand
+	rate    rateLimit
 	lastSeq uint64
 }
 
@@ -165,6 +166,9 @@
 		q.draining = true
 	case Tick:
 		actions = append(actions, q.expire(now)...)
+	case SetRateLimit:
+		q.rate.set(now, ev.PerSecond)
+		actions = append(actions, q.refuseUnreachable(now)...)
 	}
 	return append(actions, q.start(now)...)
 }
@@ -180,6 +184,9 @@
 	case item.Deadline.IsZero():
 		return Refuse{}, false
 	}
+	if delay, late := q.missesObjectiveByRate(now, item); late {
+		return Refuse{item.ID, ReasonDeadline, delay}, true
+	}
 	left, wait, run := item.Deadline.Sub(now), q.expectedWait(now, item), q.expected(item)
 	if wait+run > left || wait > time.Duration(q.cfg.WaitShare*float64(left)) {
 		return Refuse{item.ID, ReasonDeadline, max(0, wait-time.Duration(q.cfg.WaitShare*float64(left)))}, true
@@ -196,14 +203,20 @@
 	return item.Expected
 }
 
-// expectedWait estimates how long the item would wait: the work that is served
+// expectedWait estimates how long the item would wait for a slot or for the
+// rate limit, whichever takes longer.
+func (q *Queue) expectedWait(now time.Time, item Item) time.Duration {
+	return max(q.slotWait(now, item), q.rateDelay(now, item))
+}
+
+// slotWait estimates how long the item would wait for a slot: the work that is served
 // before the item, divided by the slots that serve this work. The estimate
 // follows T*L/N in the HTDcr paper (doi 10.1007/s11432-022-3657-3; mean run
 // time T, queue length L, slots N), with the sum of the expected run times in
 // place of T*L.
-func (q *Queue) expectedWait(now time.Time, item Item) time.Duration {
+func (q *Queue) slotWait(now time.Time, item Item) time.Duration {
 	if q.cfg.Discipline == FIFO {
-		return q.expectedWaitFIFO(now)
+		return q.slotWaitFIFO(now)
 	}
 	slots := float64(q.cfg.Slots)
 	var occupied time.Duration
@@ -246,14 +259,14 @@
 	return time.Duration(work / slots)
 }
 
-// HasFreeSlot reports whether the Queue is not draining, a slot is free and no
-// item is queued.
-func (q *Queue) HasFreeSlot() bool {
-	return !q.draining && q.running < q.cfg.Slots && len(q.items) == q.running
+// HasFreeSlot reports whether the Queue is not draining, a slot is free, no
+// item is queued and the rate limit lets an item start.
+func (q *Queue) HasFreeSlot(now time.Time) bool {
+	return !q.draining && q.running < q.cfg.Slots && len(q.items) == q.running && q.rate.delay(now, 1) == 0
 }
 
-// expectedWaitFIFO is expectedWait for the FIFO discipline.
-func (q *Queue) expectedWaitFIFO(now time.Time) time.Duration {
+// slotWaitFIFO is slotWait for the FIFO discipline.
+func (q *Queue) slotWaitFIFO(now time.Time) time.Duration {
 	if q.running < q.cfg.Slots {
 		return 0
 	}
@@ -315,6 +328,7 @@
 	case e == nil:
 	case e.running:
 		q.freeSlot(e)
+		q.rate.giveBack()
 	default:
 		q.removeQueued(e)
 	}
@@ -347,11 +361,11 @@
 	return actions
 }
 
-// start starts queued items while slots are free, and refuses items that it
-// finds too late to start.
+// start starts queued items while slots are free and the rate limit allows it,
+// and refuses items that it finds too late to start.
 func (q *Queue) start(now time.Time) []Action {
 	var actions []Action
-	for q.running < q.cfg.Slots {
+	for q.running < q.cfg.Slots && q.rate.delay(now, 1) == 0 {
 		e := q.popNext(now)
 		if e == nil {
 			break
@@ -363,6 +377,7 @@
 		}
 		e.running, e.started = true, now
 		q.running++
+		q.rate.take(now)
 		if e.Length == fleet.Long {
 			q.runningLong++
 		}
@@ -450,8 +465,9 @@
 // Long work counts only through the slots that it holds: if QueuedWork
 // contained its run times, ingresses would send no short work to targets with
 // queued long work and overload the other targets.
-func (q *Queue) Load(time.Time) fleet.Load {
-	l := fleet.Load{InFlight: q.running, Queued: len(q.items) - q.running, Slots: q.cfg.Slots}
+func (q *Queue) Load(now time.Time) fleet.Load {
+	l := fleet.Load{InFlight: q.running, Queued: len(q.items) - q.running, Slots: q.cfg.Slots, RateLimit: q.rate.perSecond}
+	l.StartDelay = q.rate.delay(now, l.Queued+1)
 	for _, e := range q.items {
 		if e.backlog == &q.overdue && !e.running {
 			continue // new items start before overdue ones
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -1,12 +1,6 @@
 package fleet
 
-import (
-	"math"
-	"time"
-)
-
-// Unlimited is the rate limit of a target that states none.
-var Unlimited = math.Inf(1)
+import "time"
 
 // TargetState is the state of a target as published by its sidecar.
 type TargetState uint8
@@ -70,4 +64,12 @@
 	// EpisodeProbability is the probability, estimated by the sidecar, that the
 	// target is in a failure episode.
 	EpisodeProbability float64
+	// RateLimit is the number of requests per second that the target accepts
+	// from all nodes together; 0 if it states no limit.
+	RateLimit float64
+	// RateUnknown is set until the sidecar has got an answer of the target or
+	// was told of its limit; RateLimit then says nothing.
+	RateUnknown bool
+	// StartDelay is the time until the rate limit lets a new request start.
+	StartDelay time.Duration
 }
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -206,7 +206,7 @@
 	call.Nested = req.nested
 	call.Final = in.cfg.UncountedRefusals && s.final(now)
 	choice, ok := picker.Pick(routing.Request{
-		Idempotent: req.class.Idempotent && !call.Final, LargeAnswer: req.class.LargeAnswer, Bytes: max(req.contentLength, 0), Exclude: s.excludedTargets(call.NoWait),
+		Idempotent: req.class.Idempotent && !call.Final, LargeAnswer: req.class.LargeAnswer, Bytes: max(req.contentLength, 0), Expected: req.class.Expected.AsDuration(), Exclude: s.excludedTargets(call.NoWait),
 	}, random(), now)
 	if !ok {
 		return link.Refused(call, "no target of the service may receive the request")
@@ -216,6 +216,7 @@
 	s.tried = append(s.tried, target.ID)
 	s.busy = slices.DeleteFunc(s.busy, func(id fleet.TargetID) bool { return id == target.ID })
 	call.Target = target.ID
+	call.RateLimit = endpoint.RateLimit()
 	call.Retry = s.dispatched > 0
 	call.Forced = s.badStandingRefusals >= refusalsBeforeForcedCall
 	// The timer is stopped when the answer begins, so that it cannot cut off a
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -51,6 +51,9 @@
 	// Final marks a call that cannot be retried after a failure, so that only a
 	// target in good standing should run it.
 	Final bool
+	// RateLimit is the rate limit of the target, in requests per second, that
+	// the ingress knows from earlier replies; 0 if it knows none.
+	RateLimit float64
 	// Forced marks a forced call: the sidecar runs it although the target is in
 	// bad standing, because the ingress found no better target.
 	Forced bool
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -62,6 +63,7 @@
 	headerNotRunUntil  = "Siskinvale-Not-Run-Until"
 	headerRetryAfter   = "Siskinvale-Retry-After"
 	headerLoad         = "Siskinvale-Load"
+	headerTargetRate   = "Siskinvale-Target-Rate"
 )
 
 // hopByHop are the headers that concern one connection only, by RFC 9110
@@ -134,6 +136,9 @@
 	if c.Forced {
 		h.Set(headerForced, "1")
 	}
+	if c.RateLimit > 0 {
+		h.Set(headerTargetRate, formatRate(c.RateLimit))
+	}
 	if c.Target != "" {
 		h.Set(headerTarget, string(c.Target))
 	}
@@ -162,6 +167,7 @@
 		Final:         h.Get(headerFinal) != "",
 		Nested:        h.Get(headerNested) != "",
 		Forced:        h.Get(headerForced) != "",
+		RateLimit:     parseRate(h.Get(headerTargetRate)),
 		Header:        make(http.Header, len(h)),
 		Body:          r.Body,
 		ContentLength: r.ContentLength,
@@ -254,6 +260,9 @@
 	}
 	if r.Load.Slots > 0 {
 		h.Set(headerLoad, formatLoad(r.Load))
+		if rate := formatTargetRate(r.Load); rate != "" {
+			h.Set(headerTargetRate, rate)
+		}
 	}
 }
 
@@ -275,7 +284,7 @@
 		Busy:          h.Get(headerBusy) != "",
 		RetryAfter:    time.Duration(retryAfterMS) * time.Millisecond,
 		CallsPerRun:   parseCalls(h.Values(headerCalls)),
-		Load:          parseLoad(h.Get(headerLoad)),
+		Load:          parseTargetRate(parseLoad(h.Get(headerLoad)), h.Get(headerTargetRate)),
 		Sent:          true,
 		Status:        resp.StatusCode,
 		Header:        make(http.Header, len(h)),
@@ -369,3 +378,46 @@
 		EpisodeProbability: float64(n[4]) / episodeProbabilityScale,
 	}
 }
+
+func formatRate(perSecond float64) string { return strconv.FormatFloat(perSecond, 'g', 6, 64) }
+
+// parseRate returns 0, which stands for no known limit, if s is malformed.
+func parseRate(s string) float64 {
+	rate, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(rate > 0) || math.IsInf(rate, 0) {
+		return 0
+	}
+	return rate
+}
+
+// rateUnknown is the value of headerTargetRate while Load.RateUnknown is set.
+const rateUnknown = "unknown"
+
+// formatTargetRate encodes the rate limit of a load: empty without a limit, else
+// the limit and the time in microseconds until a new request may start. It is
+// separate from formatLoad, because nodes of earlier versions reject loads with
+// more fields.
+func formatTargetRate(l fleet.Load) string {
+	switch {
+	case l.RateUnknown:
+		return rateUnknown
+	case l.RateLimit > 0:
+		return formatRate(l.RateLimit) + "," + strconv.FormatInt(l.StartDelay.Microseconds(), 10)
+	default:
+		return ""
+	}
+}
+
+// parseTargetRate adds the rate limit encoded in s to l.
+func parseTargetRate(l fleet.Load, s string) fleet.Load {
+	if s == rateUnknown {
+		l.RateUnknown = true
+		return l
+	}
+	rate, delay, _ := strings.Cut(s, ",")
+	l.RateLimit = parseRate(rate)
+	if us, err := strconv.ParseInt(delay, 10, 64); err == nil && us > 0 {
+		l.StartDelay = time.Duration(us) * time.Microsecond
+	}
+	return l
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -79,6 +79,7 @@
 	It("carries every field of a call and of its reply", func() {
 		var got *link.Call
 		var body []byte
+		load := fleet.Load{InFlight: 2, Queued: 1, Slots: 4, QueuedWork: 3 * time.Millisecond, RateLimit: 2.5, StartDelay: 400 * time.Millisecond}
 		node := startPeer(link.NewHandler(newKeys(), forwarderFunc(func(_ context.Context, c *link.Call) *link.Reply {
 			got = c
 			body, _ = io.ReadAll(c.Body)
@@ -86,11 +87,11 @@
 				AttemptID: c.AttemptID, Outcome: fleet.Answered, Status: http.StatusCreated,
 				Header: http.Header{"X-Answer": {"yes"}}, ContentLength: 4,
 				Body: io.NopCloser(strings.NewReader("done")),
-				Load: fleet.Load{InFlight: 2, Queued: 1, Slots: 4, QueuedWork: 3 * time.Millisecond},
+				Load: load,
 			}
 		}), noAuthFailures))
 		call := newCall()
-		call.Key, call.Epoch = "key", 7
+		call.Key, call.Epoch, call.RateLimit = "key", 7, 1.25
 		call.Header.Set("Authorization", "Basic caller")
 		call.Body, call.ContentLength = strings.NewReader("ask"), 3
 		reply := remote.Forward(context.Background(), node, fleet.Short, call)
@@ -100,15 +101,22 @@
 		Expect(string(body)).To(Equal("ask"))
 		Expect(reply.Status).To(Equal(http.StatusCreated))
 		Expect(reply.Header.Get("X-Answer")).To(Equal("yes"))
-		Expect(reply.Load).To(Equal(fleet.Load{InFlight: 2, Queued: 1, Slots: 4, QueuedWork: 3 * time.Millisecond}))
+		Expect(reply.Load).To(Equal(load))
 		Expect(got.Path).To(Equal("/kits?id=1"))
 		Expect(got.Method).To(Equal(http.MethodGet))
 		Expect(got.Epoch).To(Equal(fleet.Epoch(7)))
 		Expect(got.Key).To(Equal("key"))
+		Expect(got.RateLimit).To(Equal(1.25))
 		Expect(got.ReceivedAt).To(BeTemporally("==", call.ReceivedAt))
 		Expect(got.Header.Get("Authorization")).To(Equal("Basic caller"))
 		Expect(got.Header).NotTo(HaveKey("X-Hop"))
 		Expect(got.Header.Get("X-Own")).To(Equal("1"))
+
+		load = fleet.Load{Slots: 4, RateUnknown: true}
+		reply = remote.Forward(context.Background(), node, fleet.Short, newCall())
+		reply.Body.Close()
+		Expect(reply.Load).To(Equal(load))
+		Expect(got.RateLimit).To(BeZero())
 	})
 
 	// Guards against sending the body with every sidecar attempt, including the
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"time"
 
 	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
@@ -19,7 +20,7 @@
 	maxLoadBytes = 1100
 	// loadBytes is the size of an encoded load without its identifier, with all
 	// numbers at their largest usual sizes.
-	loadBytes = 32
+	loadBytes = 42
 	// wantInterval is the shortest time between two requests for target
 	// records, and maxWanted the number of targets in one. The records fit one
 	// datagram.
@@ -123,13 +124,14 @@
 func reportToProto(r loadreport.Report, now time.Time) *controlv1.TargetLoad {
 	l := r.Load
 	return &controlv1.TargetLoad{
+		RateLimitMilli: uint64(math.Ceil(l.RateLimit * milli)), StartDelayMs: uint32(l.StartDelay.Milliseconds()), RateUnknown: l.RateUnknown,
 		Target: string(r.Target), InFlight: uint32(l.InFlight), Queued: uint32(l.Queued), Slots: uint32(l.Slots),
 		QueuedWorkUs: uint64(l.QueuedWork.Microseconds()), BadPermille: uint32(l.EpisodeProbability * permille),
 		AgeMs: uint32(max(now.Sub(r.At), 0).Milliseconds()), Record: uint32(r.Record),
 	}
 }
 
-const permille = 1000
+const permille, milli = 1000, 1000
 
 func reportFromProto(l *controlv1.TargetLoad, now time.Time) loadreport.Report {
 	return loadreport.Report{
@@ -137,6 +139,8 @@
 		Load: fleet.Load{
 			InFlight: int(l.GetInFlight()), Queued: int(l.GetQueued()), Slots: int(l.GetSlots()),
 			QueuedWork: time.Duration(l.GetQueuedWorkUs()) * time.Microsecond, EpisodeProbability: float64(l.GetBadPermille()) / permille,
+			RateLimit: float64(l.GetRateLimitMilli()) / milli, RateUnknown: l.GetRateUnknown(),
+			StartDelay: time.Duration(l.GetStartDelayMs()) * time.Millisecond,
 		},
 		At: now.Add(-time.Duration(l.GetAgeMs()) * time.Millisecond), Record: uint16(l.GetRecord()),
 	}
--- a/internal/node/loads_test.go
+++ b/internal/node/loads_test.go
@@ -87,7 +87,8 @@
 		var reports []loadreport.Report
 		for i := range 300 {
 			reports = append(reports, loadreport.Report{Target: fleet.TargetID(fmt.Sprintf("target-with-a-long-name-%d", i)), Record: 65535, At: time.Now().Add(-time.Minute),
-				Load: fleet.Load{InFlight: 1000, Queued: 1000, Slots: 1000, QueuedWork: time.Hour, EpisodeProbability: 1}})
+				Load: fleet.Load{InFlight: 1000, Queued: 1000, Slots: 1000, QueuedWork: time.Hour, EpisodeProbability: 1,
+					RateLimit: 100_000.5, StartDelay: time.Hour, RateUnknown: true}})
 		}
 		c.sendReports([]loadreport.Send{{To: []fleet.Node{{PeerAddr: peer.LocalAddr().String()}}, Stage: loadreport.Distributed, Reports: reports}})
 		Expect(c.transport.Counts().SendErrors).To(BeZero())
--- a/internal/routing/api.go
+++ b/internal/routing/api.go
@@ -20,6 +20,8 @@
 	// LargeAnswer marks a request whose answer is expected to be large. Other
 	// data centres then cost LargeAnswerTransferCost more.
 	LargeAnswer bool
+	// Expected is the usual run time of the request's class.
+	Expected time.Duration
 	// Exclude lists the targets of earlier attempts of the same request. Pick
 	// does not choose them.
 	Exclude []fleet.TargetID
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -29,6 +29,40 @@
 	// nanoseconds.
 	episodeBits atomic.Uint64
 	episodeAt   atomic.Int64
+	// statement is what the target stated about itself; nil until it is listed.
+	statement atomic.Pointer[statement]
+	// startAt is the time from which the target's rate limit lets a new request
+	// start, as of the last report, in Unix nanoseconds.
+	startAt atomic.Int64
+}
+
+// RateLimit returns the rate limit that the target states, in requests per
+// second; 0 if none is known.
+func (e *Endpoint) RateLimit() float64 {
+	if s := e.statement.Load(); s != nil {
+		return s.limit()
+	}
+	return 0
+}
+
+// rateDelay estimates how long the target's rate limit would make a new request
+// wait, in nanoseconds. Attempts of this ingress since the last report each
+// postpone it by the time between two requests.
+func (e *Endpoint) rateDelay(now int64) int64 {
+	limit := e.RateLimit()
+	if limit <= 0 {
+		return 0
+	}
+	later := max(0, e.outstanding.Load()-int64(e.load.Load()>>32&max16))
+	return max(0, e.startAt.Load()-now) + int64(float64(later)/limit*float64(time.Second))
+}
+
+// reportRate records the rate limit of a load that was reported at the time at.
+func (e *Endpoint) reportRate(load fleet.Load, at time.Time) {
+	if s := e.statement.Load(); s != nil {
+		s.report(load)
+	}
+	e.startAt.Store(at.Add(load.StartDelay).UnixNano())
 }
 
 // Report stores the load that the target's sidecar published at the given time,
@@ -42,6 +76,7 @@
 	e.episodeAt.Store(at.UnixNano())
 	e.load.Store(packLoad(load, e.outstanding.Load()))
 	e.reportedAt.Store(at.UnixNano())
+	e.reportRate(load, at)
 }
 
 // failureProbability estimates the probability that a request fails at the
@@ -87,6 +122,7 @@
 	e.reportedAt.Store(now.UnixNano())
 	e.episodeBits.Store(math.Float64bits(load.EpisodeProbability))
 	e.episodeAt.Store(now.UnixNano())
+	e.reportRate(load, now)
 }
 
 // A packed load consists of, from the highest bit: the requests in flight at
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -121,7 +121,7 @@
 		if contains(req.Exclude, c.id) {
 			continue
 		}
-		if cost := c.cost(now) + c.requestCost(req, now) + c.throttlingCost(now, splitMix64(random+i)); best == nil || cost < bestCost {
+		if cost := c.cost(now) + c.requestCost(req, now) + c.throttlingCost(req, now, splitMix64(random+i)); best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
@@ -136,7 +136,7 @@
 		if contains(req.Exclude, c.id) {
 			continue
 		}
-		if cost := c.cost(now) + c.requestCost(req, now) + c.throttlingCost(now, max64); best == nil || cost < bestCost {
+		if cost := c.cost(now) + c.requestCost(req, now) + c.throttlingCost(req, now, max64); best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
@@ -177,7 +177,7 @@
 }
 
 // cost estimates the cost in nanoseconds of one more request at the target: the
-// round trip, the wait for a slot if none is free, and a part of
+// round trip, the wait for a slot or for the target's rate limit, and a part of
 // DefaultDistance in proportion to the slots in use. This part prefers idle
 // targets, but is at most half of the default round trip, so that it does not
 // move requests to other data centres. A failed attempt adds a cost that falls
@@ -185,9 +185,11 @@
 func (c *candidate) cost(now int64) int64 {
 	requests, work := c.endpoint.estimate(now)
 	cost := c.roundTrip + int64(DefaultDistance)*min(requests, c.slots)/c.slots
+	wait := c.endpoint.rateDelay(now)
 	if requests >= c.slots {
-		cost += work / c.slots
+		wait = max(wait, work/c.slots)
 	}
+	cost += wait
 	if since := now - c.endpoint.failedAt.Load(); since < int64(FailureCostDuration) {
 		cost += int64(FailureCost) * (int64(FailureCostDuration) - since) / int64(FailureCostDuration)
 	}
@@ -254,12 +256,16 @@
 
 // throttlingCost returns an additional cost that applies to a random part of
 // the requests. Through it, a target in slow start gets a growing share of its
-// traffic, and a held target half of its traffic, unless the other targets have
-// longer queues.
-func (c *candidate) throttlingCost(now int64, random uint64) int64 {
+// traffic, a held target half of its traffic, and one that states a rate limit
+// the part that the limit lets it serve, unless the other targets have longer
+// queues.
+func (c *candidate) throttlingCost(req *Request, now int64, random uint64) int64 {
 	var extra int64
+	if c.rateShare(req.Expected) < unitInterval(splitMix64(random+1)) {
+		extra += int64(RateLimitedCost)
+	}
 	if c.slowStartShare(now) < unitInterval(random) {
-		extra = int64(SlowStartCost)
+		extra += int64(SlowStartCost)
 	}
 	if c.verdict.HeldByFloor && random&1 == 0 {
 		extra += int64(HeldCost)
@@ -278,6 +284,17 @@
 	return max(SlowStartFloor, float64(age)/float64(SlowStart))
 }
 
+// rateShare returns the share of the requests that the target's slots could
+// serve, with the given run time, that its rate limit lets it serve; 1 without
+// a limit.
+func (c *candidate) rateShare(run time.Duration) float64 {
+	limit := c.endpoint.RateLimit()
+	if limit <= 0 || run <= 0 {
+		return 1
+	}
+	return min(1, limit*run.Seconds()/float64(c.slots))
+}
+
 const max64 = 1<<64 - 1
 
 // splitMix64 is one step of SplitMix64. Pick uses it to derive further random
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -48,11 +48,13 @@
 	// is lost with an attempt that gets no answer.
 	PathFailureCostDuration = 5 * time.Second
 	PathFailureCost         = 2 * time.Second
-	// SlowStartCost and HeldCost are added to the cost of a target in slow
-	// start or of a held target, for the part of the traffic that it should not
-	// get while other targets have short queues.
-	SlowStartCost = 500 * time.Millisecond
-	HeldCost      = 50 * time.Millisecond
+	// SlowStartCost, HeldCost and RateLimitedCost are added to the cost of a
+	// target in slow start, of a held target, or of one that states a rate
+	// limit, for the part of the traffic that it should not get while other
+	// targets have short queues.
+	SlowStartCost   = 500 * time.Millisecond
+	HeldCost        = 50 * time.Millisecond
+	RateLimitedCost = 50 * time.Millisecond
 	// NonIdempotentFailureCost is the cost of a failed non-idempotent request,
 	// and RetriedFailureCost that of a failed attempt that is followed by a
 	// retry. Both are given as the wait that is accepted to avoid the failure.
@@ -94,6 +96,7 @@
 	selfHash uint64
 	cfg      Config
 	services map[string]*serviceEntries
+	unlisted map[fleet.TargetID]unlistedStatement
 }
 
 // serviceEntries holds the targets of one service. They stay in order of rank
@@ -135,7 +138,7 @@
 		cfg.Subset = SubsetSize
 	}
 	return &Table{self: self, selfHash: xxhash.Sum64String(string(self.ID)), cfg: cfg,
-		services: map[string]*serviceEntries{}}
+		services: map[string]*serviceEntries{}, unlisted: map[fleet.TargetID]unlistedStatement{}}
 }
 
 // Rebuild returns a Picker for the current targets of a service and their
@@ -160,6 +163,7 @@
 	for _, e := range entries.ranked {
 		if !e.listed {
 			delete(entries.byID, e.id)
+			t.keepStatement(e, now)
 			continue
 		}
 		e.listed = false
@@ -168,6 +172,7 @@
 			serving = append(serving, t.candidate(e))
 		}
 	}
+	t.dropStatements(now)
 	clear(entries.ranked[len(kept):])
 	entries.ranked = kept
 	if len(kept) == 0 {
@@ -200,6 +205,9 @@
 			e.rank = t.rank(target)
 			entries.insert(e)
 		}
+		if old == nil || !old.Started.Equal(target.Started) {
+			e.endpoint.statement.Store(t.statementOf(target))
+		}
 		e.endpoint.target.Store(&target)
 	}
 	e.listed = true
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -9,30 +9,33 @@
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/event"
-	"siskinvale.dev/siskinvale/internal/fleet"
 	"siskinvale.dev/siskinvale/internal/link"
 )
 
 // Notice is what a target states about itself in an answer.
 type Notice struct {
 	// RateLimit is the number of requests per second that the target accepts
-	// from all nodes together; fleet.Unlimited if it states no limit.
+	// from all nodes together, as returned by ParseRateLimit.
 	RateLimit float64
 	// Leaving is set by a target that is about to stop.
 	Leaving bool
 }
 
-// ParseRateLimit parses a stated limit in requests per second. An empty string
-// means fleet.Unlimited. Negative and non-finite numbers are errors.
+// lowestRateLimit stands for a stated limit of zero: 0 means no limit.
+const lowestRateLimit = 1e-3
+
+// ParseRateLimit parses a stated limit in requests per second. The result is 0
+// for an empty string, which means that there is no limit, and positive
+// otherwise. Negative and non-finite numbers are errors.
 func ParseRateLimit(s string) (float64, error) {
 	if s == "" {
-		return fleet.Unlimited, nil
+		return 0, nil
 	}
 	limit, err := strconv.ParseFloat(s, 64)
 	if err != nil || limit < 0 || math.IsInf(limit, 0) || math.IsNaN(limit) {
 		return 0, fmt.Errorf("rate limit %q is not a decimal number of requests per second", s)
 	}
-	return limit, nil
+	return max(limit, lowestRateLimit), nil
 }
 
 // nativeNotice reads the notice of a target that speaks plain HTTP with the
@@ -62,15 +65,19 @@
 	arrivalKinds
 )
 
-// rateMonitor compares the requests that are sent to one target with the rate
-// limit that the target states. It decides nothing: its events are evidence
-// that the limit is kept or not. It is safe for concurrent use.
-type rateMonitor struct {
+// rateState is the rate limit of one target as its sidecar knows it, with the
+// requests that were sent to the target while it was in force. It is safe for
+// concurrent use.
+type rateState struct {
 	mu    sync.Mutex
-	limit float64 // requests per second; 0 until the first answer
-	since time.Time
-	// arrivals are the requests sent within arrivalWindow while a limit is
-	// stated, oldest first.
+	known bool
+	// limit is the number of requests per second; 0 for none.
+	limit float64
+	// since is the time of the last change, and statedAt that of the last
+	// answer that stated a limit.
+	since, statedAt time.Time
+	// arrivals are the requests sent within arrivalWindow while a limit is in
+	// force, oldest first.
 	arrivals   []arrival
 	reportedAt time.Time
 }
@@ -80,42 +87,71 @@
 	kind arrivalKind
 }
 
-// noticed records the limit that an answer states and returns the previous one.
-func (m *rateMonitor) noticed(limit float64, now time.Time) (previous float64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	previous, m.limit = m.limit, limit
-	if limit == fleet.Unlimited {
-		m.arrivals = nil
-	} else if previous != limit {
-		m.since = now
-	}
-	return previous
+// get returns the limit and whether it is known.
+func (r *rateState) get() (limit float64, known bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.limit, r.known
+}
+
+// update records the limit that an answer states to a request that was sent at
+// the time sent. It returns the previous limit and whether the limit changed.
+//
+// An answer without a limit ends the limit only if its request was sent after
+// the last answer that stated one: answers may be read in another order than
+// the target wrote them.
+func (r *rateState) update(limit float64, sent, now time.Time) (previous float64, changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if limit == 0 && r.limit > 0 && !sent.After(r.statedAt) {
+		return r.limit, false
+	}
+	if limit > 0 {
+		r.statedAt = now
+	}
+	previous, changed = r.limit, r.limit != limit
+	r.known, r.limit = true, limit
+	if changed {
+		r.since, r.arrivals = now, nil
+	}
+	return previous, changed
+}
+
+// learn adopts the limit that a node knows of the target, unless the limit is
+// known here already. It reports whether it did.
+func (r *rateState) learn(limit float64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.known || limit <= 0 {
+		return false
+	}
+	r.known, r.limit, r.since, r.statedAt = true, limit, now, now
+	return true
 }
 
 // sent records a request to the target. It returns the fields of the event to
 // log if the requests of the last arrivalWindow exceed the limit, else nil.
-func (m *rateMonitor) sent(kind arrivalKind, now time.Time) event.Fields {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.limit <= 0 || m.limit == fleet.Unlimited {
+func (r *rateState) sent(kind arrivalKind, now time.Time) event.Fields {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limit == 0 {
 		return nil
 	}
-	for len(m.arrivals) > 0 && now.Sub(m.arrivals[0].at) >= arrivalWindow {
-		m.arrivals = m.arrivals[1:]
+	for len(r.arrivals) > 0 && now.Sub(r.arrivals[0].at) >= arrivalWindow {
+		r.arrivals = r.arrivals[1:]
 	}
-	m.arrivals = append(m.arrivals, arrival{now, kind})
-	allowed := overLimitTolerance*m.limit*arrivalWindow.Seconds() + overLimitSlack
-	if float64(len(m.arrivals)) <= allowed || now.Sub(m.since) < arrivalWindow || now.Sub(m.reportedAt) < arrivalWindow {
+	r.arrivals = append(r.arrivals, arrival{now, kind})
+	allowed := overLimitTolerance*r.limit*arrivalWindow.Seconds() + overLimitSlack
+	if float64(len(r.arrivals)) <= allowed || now.Sub(r.since) < arrivalWindow || now.Sub(r.reportedAt) < arrivalWindow {
 		return nil
 	}
-	m.reportedAt = now
+	r.reportedAt = now
 	var counts [arrivalKinds]int
-	for _, a := range m.arrivals {
+	for _, a := range r.arrivals {
 		counts[a.kind]++
 	}
 	return event.Fields{
-		"perSecond": m.limit, "seconds": arrivalWindow.Seconds(), "requests": len(m.arrivals),
+		"perSecond": r.limit, "seconds": arrivalWindow.Seconds(), "requests": len(r.arrivals),
 		"first": counts[firstAttempt], "retries": counts[retryAttempt], "nested": counts[nestedCall],
 	}
 }
@@ -131,9 +167,9 @@
 	}
 }
 
-// observeNotice records what an answer of the target states about the target
-// and logs changes.
-func (t *target) observeNotice(h http.Header) {
+// observeNotice applies what an answer of the target states about the target.
+// sent is the time at which the request of the answer was sent.
+func (t *target) observeNotice(h http.Header, sent time.Time) {
 	read := nativeNotice
 	if t.dialect != nil {
 		read = t.dialect.Notice
@@ -143,18 +179,21 @@
 		t.report(event.NoticeMalformed, event.Fields{"error": err.Error()})
 		return
 	}
-	if previous := t.rates.noticed(notice.RateLimit, t.clock()); previous != notice.RateLimit && (previous != 0 || notice.RateLimit != fleet.Unlimited) {
-		t.report(event.RateLimitChanged, event.Fields{"perSecond": limitField(notice.RateLimit), "before": limitField(previous)})
+	if previous, changed := t.rates.update(notice.RateLimit, sent, t.clock()); changed {
+		t.gate.SetRateLimit(notice.RateLimit)
+		t.report(event.RateLimitChanged, event.Fields{"perSecond": notice.RateLimit, "before": previous, "source": "answer"})
 	}
 	if notice.Leaving && !t.saidLeaving.Swap(true) {
 		t.report(event.TargetSaysLeaving, event.Fields{"state": t.record().State.String()})
 	}
 }
 
-// limitField returns a limit as a log field; "none" for no limit.
-func limitField(limit float64) any {
-	if limit == fleet.Unlimited || limit == 0 {
-		return "none"
+// learnRateLimit applies the rate limit that the sender of a call knows of the
+// target. After a restart, a sidecar knows no limit until the first answer,
+// and the requests before it would exceed a low one.
+func (t *target) learnRateLimit(limit float64) {
+	if t.rates.learn(limit, t.clock()) {
+		t.gate.SetRateLimit(limit)
+		t.report(event.RateLimitChanged, event.Fields{"perSecond": limit, "before": 0, "source": "call"})
 	}
-	return limit
 }
--- a/internal/sidecar/notice_test.go
+++ b/internal/sidecar/notice_test.go
@@ -77,4 +77,46 @@
 		Expect(outcomes[fleet.Answered]).To(BeNumerically(">=", limit*5), "the limit is used")
 		Expect(outcomes[fleet.Unknown]).To(BeZero())
 	})
+
+	// Guards against a restarted sidecar that sends its target more than the
+	// limit until the first answer states it again.
+	It("is taken from a call that knows it, before the call is forwarded", func() {
+		t, s := startStandin(standin.TargetFaults{RateLimit: 1, SlowFactor: 200})
+		replies := forwardFor(s, 900*time.Millisecond, 8, func(call *link.Call) {
+			call.RateLimit, call.NoWait, call.Timeout = 1, true, 2*time.Second
+		})
+		Expect(t.Calls().Requests).To(BeZero(), "the bucket is empty for the first second")
+		Expect(replies).To(HaveKey(fleet.NotRun))
+	})
+
+	It("ends with the first answer without one, to a request that was sent after the last answer with one", func() {
+		t, s := startStandin(standin.TargetFaults{RateLimit: 2})
+		forwardFor(s, 100*time.Millisecond, 1, nil)
+		load, _ := s.Load("t1")
+		Expect(load).To(And(HaveField("RateLimit", 2.0), HaveField("RateUnknown", false)))
+		Expect(t.SetFaults(standin.TargetFaults{})).To(Succeed())
+		forwardFor(s, 700*time.Millisecond, 1, func(call *link.Call) { call.Timeout, call.RateLimit = 2*time.Second, 2 })
+		load, _ = s.Load("t1")
+		Expect(load.RateLimit).To(BeZero())
+		Expect(t.Calls().MostInWindow).To(BeNumerically(">", 10))
+	})
+
+	It("is unknown until the first answer", func() {
+		_, s := startStandin(standin.TargetFaults{})
+		load, _ := s.Load("t1")
+		Expect(load.RateUnknown).To(BeTrue())
+		forwardFor(s, 20*time.Millisecond, 1, nil)
+		load, _ = s.Load("t1")
+		Expect(load).To(And(HaveField("RateUnknown", false), HaveField("RateLimit", 0.0)))
+	})
+
+	DescribeTable("is parsed as a decimal number", func(text string, limit float64, malformed bool) {
+		got, err := sidecar.ParseRateLimit(text)
+		Expect(err != nil).To(Equal(malformed))
+		if !malformed {
+			Expect(got).To(Equal(limit))
+		}
+	},
+		Entry("none", "", 0.0, false), Entry("fraction", "2.5", 2.5, false), Entry("zero still limits", "0", 1e-3, false),
+		Entry("negative", "-1", 0.0, true), Entry("text", "many", 0.0, true), Entry("infinite", "Inf", 0.0, true), Entry("not a number", "NaN", 0.0, true))
 })
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -69,7 +69,7 @@
 	// logged change.
 	loggedTrusted bool
 
-	rates rateMonitor
+	rates rateState
 	// saidLeaving is set once an answer stated that the target is leaving.
 	saidLeaving atomic.Bool
 }
@@ -121,6 +121,7 @@
 // admit waits for a slot and runs the call. mayDispatch, if not nil, is called
 // immediately before the request is sent and must permit it.
 func (t *target) admit(ctx context.Context, call *link.Call, item admission.Item, mayDispatch func() bool) *link.Reply {
+	t.learnRateLimit(call.RateLimit)
 	if !t.standingAdmits(call) {
 		return t.refuseBadStanding(call)
 	}
@@ -128,6 +129,7 @@
 	if err != nil {
 		reply := refusedReply(call, err, t.load())
 		reply.Busy = errors.Is(err, errNoFreeSlot)
+		reply.RetryAfter = max(reply.RetryAfter, reply.Load.StartDelay)
 		t.logRefused(call, reply)
 		return reply
 	}
@@ -170,6 +172,8 @@
 // Load.EpisodeProbability.
 func (t *target) load() fleet.Load {
 	load := t.gate.Load()
+	limit, known := t.rates.get()
+	load.RateLimit, load.RateUnknown = limit, !known
 	if t.dialect != nil {
 		t.mu.Lock()
 		load.EpisodeProbability = t.standing.EpisodeProbability(t.clock())
@@ -267,7 +271,8 @@
 		t.recordOutcome(call, outcome, detail)
 		release()
 	}
-	if fields := t.rates.sent(kindOfArrival(call), t.clock()); fields != nil {
+	sentAt := t.clock()
+	if fields := t.rates.sent(kindOfArrival(call), sentAt); fields != nil {
 		t.report(event.TargetOverLimit, fields)
 	}
 	resp, err := t.client.Do(req)
@@ -279,7 +284,7 @@
 	if t.dialect != nil {
 		kind = t.dialect.Classify(resp, *t.record(), call)
 		if kind == Executed || kind == TimedOut || kind == Shed {
-			t.observeNotice(resp.Header)
+			t.observeNotice(resp.Header, sentAt)
 		}
 		if reply := t.notExecutedReply(call, kind, resp, &sent, end); reply != nil {
 			return reply
@@ -295,7 +300,7 @@
 		return link.MayHaveRun(call, "the target's answer has no length and no chunks, so its end cannot be recognised")
 	}
 	if t.dialect == nil {
-		t.observeNotice(resp.Header)
+		t.observeNotice(resp.Header, sentAt)
 	}
 	t.evidence.recordProgress(active, t.clock())
 	return &link.Reply{
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -111,8 +111,8 @@
 	calls       TargetCalls
 	// arrivals are the times of the requests within the last arrivalWindow,
 	// oldest first.
-	arrivals []time.Time
-	httpRouter  *echo.Echo
+	arrivals   []time.Time
+	httpRouter *echo.Echo
 }
 
 // NewTarget returns a target stand-in.
