Send nothing more to a target that says in its answers that it leaves

Seen: a target that states that it is about to stop kept getting requests until an announcement said so; if the announcement was lost or the process beside the target was replaced, for as long as it ran. Cause: the class of fault of the rate limits: a condition of the receiver that arrives with answers and that no owner of the state reads. Change: the sidecar refuses new calls from the first such answer on and tells the registry, which marks the target as leaving as it does when a target reports that it has left; replies carry the statement, and an ingress that has passed it on sends nothing more to this start of the target, also if the sidecar has forgotten it and a late announcement says that the target is ready. An answer that closes its connection is no such statement.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -228,6 +228,9 @@
 	timer.Stop()
 	reply = in.prefetch(call, reply)
 	reply.Target = target.ID
+	if reply.Leaving {
+		endpoint.SaysLeaving(target)
+	}
 	in.paths.record(target.ID, reply)
 	in.recordCallsPerRun(req.service, reply)
 	if reply.BadStanding {
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -117,6 +117,9 @@
 	Undispatched bool
 	// KeyMismatch reports that the key was used before with different content.
 	KeyMismatch bool
+	// Leaving reports that the target states that it is about to stop, and that
+	// its sidecar admits no new calls.
+	Leaving bool
 	// RetryAfter is the time after which a refused call may succeed; 0 if not
 	// known.
 	RetryAfter time.Duration
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -23,7 +23,7 @@
 	HeaderTraceparent    = "Traceparent"
 	// HeaderRateLimit and HeaderLeaving are headers of targets' answers: the
 	// requests per second that the target accepts from all nodes together, and
-	// that it is about to stop.
+	// that it is about to stop. Sidecars pass HeaderLeaving on to ingresses.
 	HeaderRateLimit = "Siskinvale-Rate-Limit"
 	HeaderLeaving   = "Siskinvale-Leaving"
 )
@@ -243,6 +243,9 @@
 	if r.Busy {
 		h.Set(headerBusy, "1")
 	}
+	if r.Leaving {
+		h.Set(HeaderLeaving, "1")
+	}
 	if r.Undispatched {
 		h.Set(headerUndispatched, "1")
 	}
@@ -282,6 +285,7 @@
 		Dispatched:    h.Get(headerDispatched) != "",
 		BadStanding:   h.Get(headerBadStanding) != "",
 		Busy:          h.Get(headerBusy) != "",
+		Leaving:       h.Get(HeaderLeaving) != "",
 		RetryAfter:    time.Duration(retryAfterMS) * time.Millisecond,
 		CallsPerRun:   parseCalls(h.Values(headerCalls)),
 		Load:          parseTargetRate(parseLoad(h.Get(headerLoad)), h.Get(headerTargetRate)),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,6 +115,7 @@
 	}
 	n.ingress = ingress.New(ingressConfig)
 	n.control = newControl(n)
+	n.sidecar.SetLeaving(n.control.targetSaysLeaving)
 	n.registerGauges()
 	return n, nil
 }
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -32,6 +32,17 @@
 
 func (l localTargets) Leave(_ context.Context, ev announce.LocalLeft) error { return l.step(ev) }
 
+// targetSaysLeaving marks a local target as leaving because one of its answers
+// says so, as its own report that it leaves does. The sidecar already refuses
+// calls to it.
+func (c *control) targetSaysLeaving(t fleet.Target) {
+	go func() {
+		// A rejected event means that the registry knows a later start of the
+		// target or its removal.
+		_ = localTargets{c}.Leave(context.Background(), announce.LocalLeft{ID: t.ID, Started: t.Started})
+	}()
+}
+
 func (l localTargets) step(ev announce.Event) error {
 	var err error
 	l.control.runAndWait(func() { err = l.control.stepTargets(ev) })
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -91,7 +91,7 @@
 func (p *Picker) pickProbation(exclude []fleet.TargetID, random uint64) *candidate {
 	for i := range p.probation {
 		if random < p.probationBound[i] {
-			if contains(exclude, p.probation[i].id) {
+			if p.probation[i].mayNotGet(exclude) {
 				return nil
 			}
 			return &p.probation[i]
@@ -118,7 +118,7 @@
 			at = (first + 1 + (random&max32%(n-1)+i-1)%(n-1)) % n
 		}
 		c := &from[at]
-		if contains(req.Exclude, c.id) {
+		if c.mayNotGet(req.Exclude) {
 			continue
 		}
 		if cost := c.cost(now) + c.requestCost(req, now) + c.throttlingCost(req, now, splitMix64(random+i)); best == nil || cost < bestCost {
@@ -133,7 +133,7 @@
 func scan(from []candidate, req *Request, now int64, best *candidate, bestCost int64) (*candidate, int64) {
 	for i := range from {
 		c := &from[i]
-		if contains(req.Exclude, c.id) {
+		if c.mayNotGet(req.Exclude) {
 			continue
 		}
 		if cost := c.cost(now) + c.requestCost(req, now) + c.throttlingCost(req, now, max64); best == nil || cost < bestCost {
@@ -150,7 +150,7 @@
 	var bestCost int64
 	for i := range from {
 		c := &from[i]
-		if contains(exclude, c.id) {
+		if c.mayNotGet(exclude) {
 			continue
 		}
 		cost := c.cost(now) + int64(c.verdict.LostFraction*float64(SeverityCost))
@@ -167,6 +167,12 @@
 	return best
 }
 
+// mayNotGet reports whether a request must not be sent to the candidate: it is
+// excluded, or it stated that it is about to stop.
+func (c *candidate) mayNotGet(exclude []fleet.TargetID) bool {
+	return contains(exclude, c.id) || c.endpoint.leaving()
+}
+
 func contains(ids []fleet.TargetID, id fleet.TargetID) bool {
 	for _, x := range ids {
 		if x == id {
@@ -232,7 +238,7 @@
 		var found []*candidate
 		for i := range list {
 			c := &list[i]
-			if !c.useRisk || contains(req.Exclude, c.id) || req.LargeAnswer && !c.local {
+			if !c.useRisk || c.mayNotGet(req.Exclude) || req.LargeAnswer && !c.local {
 				continue
 			}
 			if risk := c.endpoint.failureProbability(now); risk > exploreMinRisk && risk < exploreMaxRisk {
@@ -333,6 +339,8 @@
 // reason returns the reason that Explain gives for a candidate.
 func (c *candidate) reason(now int64) Reason {
 	switch {
+	case c.endpoint.leaving():
+		return ReasonDraining
 	case c.verdict.State == health.Probation:
 		return ReasonProbation
 	case c.verdict.State == health.Ejected:
--- a/internal/routing/statement.go
+++ b/internal/routing/statement.go
@@ -19,6 +19,7 @@
 	started time.Time // Target.Started
 	// rateLimit is the bits of a float64 in requests per second; 0 for none.
 	rateLimit atomic.Uint64
+	leaving   atomic.Bool
 }
 
 // limit returns the rate limit in requests per second; 0 for none.
@@ -32,6 +33,21 @@
 	}
 }
 
+// SaysLeaving records that the target stated that it is about to stop, in an
+// answer to a request that was sent to t. No further request is sent to this
+// start of the target, whatever late announcements say of it.
+func (e *Endpoint) SaysLeaving(t fleet.Target) {
+	if s := e.statement.Load(); s != nil && s.started.Equal(t.Started) {
+		s.leaving.Store(true)
+	}
+}
+
+// leaving reports whether the target stated that it is about to stop.
+func (e *Endpoint) leaving() bool {
+	s := e.statement.Load()
+	return s != nil && s.leaving.Load()
+}
+
 // unlistedStatement is the statement of a target that is no longer listed.
 type unlistedStatement struct {
 	*statement
@@ -41,7 +57,7 @@
 // keepStatement keeps the statement of a target that is not listed any more, if
 // it says anything.
 func (t *Table) keepStatement(e *entry, now time.Time) {
-	if s := e.endpoint.statement.Load(); s != nil && s.limit() > 0 {
+	if s := e.endpoint.statement.Load(); s != nil && (s.limit() > 0 || s.leaving.Load()) {
 		t.unlisted[e.id] = unlistedStatement{s, now}
 	}
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -205,7 +205,9 @@
 			e.rank = t.rank(target)
 			entries.insert(e)
 		}
-		if old == nil || !old.Started.Equal(target.Started) {
+		// A target that an operator returns to use has another statement, too.
+		returned := old != nil && old.State == fleet.TargetDraining && target.State == fleet.TargetServing
+		if old == nil || returned || !old.Started.Equal(target.Started) {
 			e.endpoint.statement.Store(t.statementOf(target))
 		}
 		e.endpoint.target.Store(&target)
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -185,6 +185,8 @@
 	}
 	if notice.Leaving && !t.saidLeaving.Swap(true) {
 		t.report(event.TargetSaysLeaving, event.Fields{"state": t.record().State.String()})
+		t.gate.Drain()
+		t.leaving(*t.record())
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -61,6 +61,9 @@
 	// during one run, by called service. Its result is nil if no calls are
 	// known; callsPerRun itself is nil if replies carry no such numbers.
 	callsPerRun func() map[string]float64
+	// leaving is called when a local target states that it is about to stop;
+	// nil if nobody needs to know.
+	leaving func(fleet.Target)
 
 	mu      sync.RWMutex
 	targets map[fleet.TargetID]*target
@@ -88,6 +91,12 @@
 // called before the first call is forwarded.
 func (s *Sidecar) SetCallsPerRun(f func() map[string]float64) { s.callsPerRun = f }
 
+// SetLeaving makes the sidecar call f when a local target states in an answer
+// that it is about to stop. From then on the sidecar refuses new calls to the
+// target. SetLeaving must be called before the first call is forwarded; f must
+// not block.
+func (s *Sidecar) SetLeaving(f func(fleet.Target)) { s.leaving = f }
+
 // RetryShare returns the share, from 0 to 1, of retries among the idempotent
 // calls that run at local targets.
 func (s *Sidecar) RetryShare() float64 {
@@ -157,6 +166,11 @@
 	added := newTarget(t, s.clock, s.dialect, s.log)
 	added.trackRun = s.trackRun
 	added.standingChanged = func() { s.standingChanged.Store(true) }
+	added.leaving = func(t fleet.Target) {
+		if s.leaving != nil {
+			s.leaving(t)
+		}
+	}
 	s.targets[t.ID] = added
 }
 
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -63,6 +63,8 @@
 	mu              sync.Mutex
 	standing        *standing.Tracker
 	standingChanged func()
+	// leaving is called once when the target states that it is about to stop.
+	leaving func(fleet.Target)
 	// trackRun counts a call as running until untrack is called.
 	trackRun func(*link.Call) (untrack func())
 	// loggedTrusted is whether the target was in good standing at the last
@@ -128,6 +130,7 @@
 	release, err := t.acquireSlot(ctx, call, item)
 	if err != nil {
 		reply := refusedReply(call, err, t.load())
+		reply.Leaving = t.saidLeaving.Load()
 		reply.Busy = errors.Is(err, errNoFreeSlot)
 		reply.RetryAfter = max(reply.RetryAfter, reply.Load.StartDelay)
 		t.logRefused(call, reply)
@@ -140,7 +143,7 @@
 		return t.refuseBadStanding(call)
 	}
 	reply := t.run(ctx, call, item, mayDispatch, release)
-	reply.Load = t.load()
+	reply.Load, reply.Leaving = t.load(), t.saidLeaving.Load()
 	return reply
 }
 
