Log when the store has come back from an older copy

Cause: no line said that the store is another one than before, at which revision a reader continues, or that the store holds an older configuration. Change: answers of the store carry its era; positions of lists and watches are an era and a revision. A node logs a risen era with the position before (6007), and a configuration in the store that is older than the one in force (2008). No decision reads the era yet.

--- a/internal/event/fleet.go
+++ b/internal/event/fleet.go
@@ -28,5 +28,6 @@
 	PlatformRateLimited    = declare(6003, "platform-rate-limited", logrus.WarnLevel, "the platform limits this node's calls")
 	PlatformOverBudget     = declare(6004, "platform-over-budget", logrus.WarnLevel, "a platform call was not sent because the call budget is used up")
 	PlatformWriteUncertain = declare(6005, "platform-write-uncertain", logrus.WarnLevel, "a platform write got no answer; reading the object back decides whether it took effect")
+	PlatformRestored       = declare(6007, "platform-restored", logrus.WarnLevel, "the platform's store has come back from an older copy; what was written since is gone")
 	PlatformRefused        = alarm(6006, "platform-refused", "the platform refuses this node's token or requests")
 )
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -33,10 +33,10 @@
 	// ReadinessHandler answers the platform's readiness probes.
 	ReadinessHandler(ready func() bool) http.Handler
 	// ReadConfiguration and WatchConfiguration return the configuration and the
-	// revision from which the next watch continues. The content is empty when
+	// position from which the next watch continues. The content is empty when
 	// the store holds no configuration or when a watch ends without a change.
-	ReadConfiguration(ctx context.Context, c platform.Client) (content []byte, revision uint64, err error)
-	WatchConfiguration(ctx context.Context, c platform.Client, since uint64) (content []byte, revision uint64, err error)
+	ReadConfiguration(ctx context.Context, c platform.Client) (content []byte, at platform.Position, err error)
+	WatchConfiguration(ctx context.Context, c platform.Client, since platform.Position) (content []byte, at platform.Position, err error)
 	ConfigurationVersion(content []byte) (uint64, error)
 	ParseConfiguration(content []byte) (*bundle.Bundle, error)
 }
@@ -134,8 +134,8 @@
 }
 
 // platformRead wraps a configuration in an envelope without signatures.
-func (s adapterSource) platformRead(content []byte, revision uint64, err error) rollout.PlatformRead {
-	read := rollout.PlatformRead{Revision: revision, Err: err}
+func (s adapterSource) platformRead(content []byte, at platform.Position, err error) rollout.PlatformRead {
+	read := rollout.PlatformRead{At: at, Err: err}
 	if err != nil || len(content) == 0 {
 		return read
 	}
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 
 	"siskinvale.dev/siskinvale/internal/event"
@@ -17,6 +18,28 @@
 	reachable atomic.Bool
 	// lastFault is the number of the event logged last, 0 while calls succeed.
 	lastFault atomic.Int64
+
+	mu sync.Mutex
+	// at is the newest position that an answer had; known is set by the first
+	// one.
+	at    platform.Position
+	known bool
+}
+
+// observePosition records the position of an answer and logs when the store has
+// come back from an older copy.
+func (p *observedPlatform) observePosition(at platform.Position) {
+	p.mu.Lock()
+	before, restored := p.at, p.known && at.Era > p.at.Era
+	if !p.known || at.Era > p.at.Era || at.Era == p.at.Era && at.Revision > p.at.Revision {
+		p.at, p.known = at, true
+	}
+	p.mu.Unlock()
+	if restored {
+		p.log.Log(event.PlatformRestored, event.Fields{
+			"era": at.Era, "revision": at.Revision, "beforeEra": before.Era, "beforeRevision": before.Revision,
+		})
+	}
 }
 
 // observe logs the beginning of a fault, a change of its kind and its end
@@ -64,14 +87,20 @@
 	return o, err
 }
 
-func (p *observedPlatform) List(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
-	objects, revision, err := p.Client.List(ctx, prefix)
+func (p *observedPlatform) List(ctx context.Context, prefix string) ([]platform.Object, platform.Position, error) {
+	objects, at, err := p.Client.List(ctx, prefix)
 	p.observe(err)
-	return objects, revision, err
+	if err == nil {
+		p.observePosition(at)
+	}
+	return objects, at, err
 }
 
-func (p *observedPlatform) Watch(ctx context.Context, prefix string, since uint64) ([]platform.Object, uint64, error) {
-	objects, revision, err := p.Client.Watch(ctx, prefix, since)
+func (p *observedPlatform) Watch(ctx context.Context, prefix string, since platform.Position) ([]platform.Object, platform.Position, error) {
+	objects, at, err := p.Client.Watch(ctx, prefix, since)
 	p.observe(err)
-	return objects, revision, err
+	if err == nil {
+		p.observePosition(at)
+	}
+	return objects, at, err
 }
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -48,6 +48,8 @@
 		c.node.log.Log(event.BundleConflict, event.Fields{
 			"from": a.From, "version": a.Version, "inForce": a.InForce, "different": a.Conflicting,
 		})
+	case rollout.OlderOnPlatform:
+		c.node.log.Log(event.BundleOlderOnPlatform, event.Fields{"version": a.Version, "inForce": a.InForce, "era": a.Era})
 	case rollout.Ready:
 		c.ready.Store(true)
 		c.node.log.Log(event.NodeReady, event.Fields{"version": c.version.Load()})
--- a/internal/node/view_test.go
+++ b/internal/node/view_test.go
@@ -26,12 +26,12 @@
 func (testAdapter) FrontEnd() ingress.FrontEnd      { return nil }
 func (testAdapter) Dialect() sidecar.Dialect        { return nil }
 
-func (testAdapter) ReadConfiguration(context.Context, platform.Client) ([]byte, uint64, error) {
-	return nil, 0, platform.ErrUnavailable
+func (testAdapter) ReadConfiguration(context.Context, platform.Client) ([]byte, platform.Position, error) {
+	return nil, platform.Position{}, platform.ErrUnavailable
 }
 
-func (testAdapter) WatchConfiguration(context.Context, platform.Client, uint64) ([]byte, uint64, error) {
-	return nil, 0, platform.ErrUnavailable
+func (testAdapter) WatchConfiguration(context.Context, platform.Client, platform.Position) ([]byte, platform.Position, error) {
+	return nil, platform.Position{}, platform.ErrUnavailable
 }
 
 // newTestControl returns the control state of a node that is not running. The
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -166,46 +166,46 @@
 }
 
 // List implements Client.
-func (c *httpClient) List(ctx context.Context, prefix string) ([]Object, uint64, error) {
+func (c *httpClient) List(ctx context.Context, prefix string) ([]Object, Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var objects []Object
 	after := ""
 	for range maxPages {
-		_, body, err := c.do(ctx, readCall, c.protocol.List(prefix, after), maxListBody)
+		header, body, err := c.do(ctx, readCall, c.protocol.List(prefix, after), maxListBody)
 		if err != nil {
-			return nil, 0, err
+			return nil, Position{}, err
 		}
 		page, err := c.protocol.DecodePage(prefix, body)
 		if err != nil {
-			return nil, 0, c.countResult(fmt.Errorf("%w: %w", ErrUnavailable, err))
+			return nil, Position{}, c.countResult(fmt.Errorf("%w: %w", ErrUnavailable, err))
 		}
 		objects = append(objects, page.Objects...)
 		c.malformed.Add(uint64(page.Malformed))
 		if page.NextAfter == "" {
-			return objects, page.Revision, nil
+			return objects, Position{c.protocol.Era(header), page.Revision}, nil
 		}
 		after = page.NextAfter
 	}
-	return nil, 0, fmt.Errorf("%w: list has more than %d pages", ErrUnavailable, maxPages)
+	return nil, Position{}, fmt.Errorf("%w: list has more than %d pages", ErrUnavailable, maxPages)
 }
 
 // Watch implements Client.
-func (c *httpClient) Watch(ctx context.Context, prefix string, since uint64) ([]Object, uint64, error) {
+func (c *httpClient) Watch(ctx context.Context, prefix string, since Position) ([]Object, Position, error) {
 	watchCtx, cancel := context.WithTimeout(ctx, c.watchWait+watchGrace)
 	defer cancel()
-	_, body, err := c.do(watchCtx, watchCall, c.protocol.Watch(prefix, since, c.watchWait), maxListBody)
+	header, body, err := c.do(watchCtx, watchCall, c.protocol.Watch(prefix, since.Revision, c.watchWait), maxListBody)
 	if errors.Is(err, ErrHistoryGone) {
 		return c.List(ctx, prefix)
 	}
 	if err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	objects, revision, err := c.protocol.DecodeChanges(prefix, body)
 	if err != nil {
-		return nil, 0, c.countResult(fmt.Errorf("%w: %w", ErrUnavailable, err))
+		return nil, Position{}, c.countResult(fmt.Errorf("%w: %w", ErrUnavailable, err))
 	}
-	return objects, max(revision, since), nil
+	return objects, Position{c.protocol.Era(header), max(revision, since.Revision)}, nil
 }
 
 // do sends one request within the budget and reads its whole answer of at most
--- a/internal/platform/memory.go
+++ b/internal/platform/memory.go
@@ -190,20 +190,20 @@
 }
 
 // List implements Client.
-func (m *Memory) List(ctx context.Context, prefix string) ([]Object, uint64, error) {
+func (m *Memory) List(ctx context.Context, prefix string) ([]Object, Position, error) {
 	if err := m.beginCall(ctx, readCall); err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	defer m.mu.Unlock()
 	objects, revision := m.readView()
 	found := selectObjects(objects, func(o Object) bool { return strings.HasPrefix(o.Key, prefix) && !o.Deleted })
-	return found, revision, nil
+	return found, Position{Revision: revision}, nil
 }
 
 // Watch implements Client.
-func (m *Memory) Watch(ctx context.Context, prefix string, since uint64) ([]Object, uint64, error) {
+func (m *Memory) Watch(ctx context.Context, prefix string, since Position) ([]Object, Position, error) {
 	if err := m.beginCall(ctx, watchCall); err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	wait := DefaultWatchWait
 	if m.watchWait > 0 {
@@ -214,7 +214,7 @@
 	for {
 		objects, revision := m.readView()
 		found := selectObjects(objects, func(o Object) bool {
-			return strings.HasPrefix(o.Key, prefix) && o.Version > since
+			return strings.HasPrefix(o.Key, prefix) && o.Version > since.Revision
 		})
 		if m.changed == nil {
 			m.changed = make(chan struct{})
@@ -222,16 +222,16 @@
 		changed, outage := m.changed, m.outage
 		m.mu.Unlock()
 		if outage {
-			return nil, 0, m.countResult(ErrUnavailable)
+			return nil, Position{}, m.countResult(ErrUnavailable)
 		}
 		if len(found) > 0 {
-			return found, revision, nil
+			return found, Position{Revision: revision}, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		case <-timer.C:
-			return nil, max(revision, since), nil
+			return nil, Position{Revision: max(revision, since.Revision)}, nil
 		case <-changed:
 		}
 		m.mu.Lock()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -69,6 +69,16 @@
 	Deleted bool
 }
 
+// Position is a point in the history of the store, from which a watch continues.
+type Position struct {
+	// Era rises each time the store comes back from an older copy, which gives
+	// revisions out again. Revisions of different eras cannot be compared. It is
+	// 0 if the platform does not tell.
+	Era uint64
+	// Revision increases with each change within one era.
+	Revision uint64
+}
+
 // Client is the object API. Every method may return ErrUnavailable,
 // ErrBudgetExceeded, ErrRefused or the error of its context. Implementations
 // are safe for concurrent use.
@@ -85,13 +95,13 @@
 	// and ErrWriteUncertain if the outcome is unknown.
 	Delete(ctx context.Context, key string, ifVersion uint64) error
 	// List returns the objects whose keys start with prefix, ordered by key,
-	// and the revision of the store.
-	List(ctx context.Context, prefix string) (objects []Object, revision uint64, err error)
+	// and the position of the store.
+	List(ctx context.Context, prefix string) (objects []Object, at Position, err error)
 	// Watch waits, by default at most DefaultWatchWait, until an object whose
-	// key starts with prefix changes after the revision since. It returns the
-	// changed objects (none when the wait timed out) and the revision to
+	// key starts with prefix changes after the position since. It returns the
+	// changed objects (none when the wait timed out) and the position to
 	// continue from.
-	Watch(ctx context.Context, prefix string, since uint64) (objects []Object, revision uint64, err error)
+	Watch(ctx context.Context, prefix string, since Position) (objects []Object, at Position, err error)
 }
 
 // Counts are the numbers of calls of one client since its creation.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -50,15 +50,17 @@
 			}
 		default:
 			since, _ := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
-			call := func() ([]platform.Object, uint64, error) { return m.List(r.Context(), r.URL.Query().Get("prefix")) }
+			call := func() ([]platform.Object, platform.Position, error) {
+				return m.List(r.Context(), r.URL.Query().Get("prefix"))
+			}
 			if r.URL.Path == "/v1/watch" {
-				call = func() ([]platform.Object, uint64, error) {
-					return m.Watch(r.Context(), r.URL.Query().Get("prefix"), since)
+				call = func() ([]platform.Object, platform.Position, error) {
+					return m.Watch(r.Context(), r.URL.Query().Get("prefix"), platform.Position{Revision: since})
 				}
 			}
 			var objects []platform.Object
-			var revision uint64
-			if objects, revision, err = call(); err == nil {
+			var at platform.Position
+			if objects, at, err = call(); err == nil {
 				type object struct {
 					Key     string `json:"key"`
 					Version uint64 `json:"version"`
@@ -68,7 +70,7 @@
 				body := struct {
 					Revision uint64   `json:"revision"`
 					Objects  []object `json:"objects"`
-				}{Revision: revision}
+				}{Revision: at.Revision}
 				for _, o := range objects {
 					body.Objects = append(body.Objects, object{o.Key, o.Version, o.Value, o.Deleted})
 				}
@@ -146,15 +148,15 @@
 		objects, next, err := c.Watch(ctx, "p/", revision)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(objects).To(HaveLen(1))
-		Expect(objects[0]).To(And(HaveField("Deleted", true), HaveField("Version", next)))
+		Expect(objects[0]).To(And(HaveField("Deleted", true), HaveField("Version", next.Revision)))
 	})
 
 	It("returns no objects and the given revision when a watch times out", func() {
 		m.SetWatchWait(time.Millisecond)
-		objects, revision, err := c.Watch(ctx, "p/", 7)
+		objects, revision, err := c.Watch(ctx, "p/", platform.Position{Revision: 7})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(objects).To(BeEmpty())
-		Expect(revision).To(Equal(uint64(7)))
+		Expect(revision).To(Equal(platform.Position{Revision: 7}))
 	})
 
 	It("distinguishes an unavailable platform from a lost answer", func() {
@@ -208,7 +210,7 @@
 		m := platform.NewMemory()
 		m.SetWatchWait(time.Millisecond)
 		c := platform.NewHTTP(newContractServer(m, &last).URL, "secret", budget)
-		_, _, err := c.Watch(context.Background(), "p/", 3)
+		_, _, err := c.Watch(context.Background(), "p/", platform.Position{Revision: 3})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(last.Load().Header.Get("Authorization")).To(Equal("Bearer secret"))
 		Expect(last.Load().URL.RawQuery).To(Equal("prefix=p%2F&since=3&wait=30s"))
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -26,6 +26,9 @@
 	DecodeObject(key string, header http.Header, body []byte) (Object, error)
 	DecodePage(prefix string, body []byte) (Page, error)
 	DecodeChanges(prefix string, body []byte) (objects []Object, revision uint64, err error)
+	// Era returns the era of the store that an answer states; 0 if it states
+	// none.
+	Era(header http.Header) uint64
 	// StatusError returns the error for a status to which this variant gives a
 	// meaning of its own, and nil for all others.
 	StatusError(status int) error
@@ -118,6 +121,21 @@
 	return objects, l.Revision, nil
 }
 
+// headerEra is the header of all answers with the era of the store.
+const headerEra = "Platform-Era"
+
+func (defaultProtocol) Era(header http.Header) uint64 { return ParseEra(header.Get(headerEra)) }
+
+// ParseEra returns the era in s, or 0, which stands for no statement, if s is
+// not a decimal number.
+func ParseEra(s string) uint64 {
+	era, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return era
+}
+
 func (defaultProtocol) StatusError(status int) error {
 	if status == http.StatusPreconditionFailed {
 		return ErrConflict
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/platform"
 )
 
 // Verifier checks and decodes bundles. Both methods must be free of side
@@ -137,8 +138,8 @@
 	Envelope []byte
 	// Pieces holds the pieces that were returned with the envelope, by name.
 	Pieces map[string][]byte
-	// Revision is the store revision from which the next watch continues.
-	Revision uint64
+	// At is the position of the store from which the next watch continues.
+	At platform.Position
 	// FromWatch is true for the result of WatchPlatform.
 	FromWatch bool
 	Err       error
@@ -186,8 +187,8 @@
 type ReadPlatform struct{}
 
 // WatchPlatform requests one long poll for a change of the active envelope
-// after revision Since. Its result is a PlatformRead.
-type WatchPlatform struct{ Since uint64 }
+// after the position Since. Its result is a PlatformRead.
+type WatchPlatform struct{ Since platform.Position }
 
 // FetchEnvelope requests the envelope that a peer has in force.
 type FetchEnvelope struct{ From fleet.NodeID }
@@ -220,18 +221,25 @@
 	InForce, Conflicting string // digests
 }
 
+// OlderOnPlatform reports, once for each era and bundle, that the platform
+// holds an older bundle than the one in force.
+type OlderOnPlatform struct {
+	Era, Version, InForce uint64
+}
+
 // Ready is emitted once, when the rollout no longer prevents the node from
 // serving callers.
 type Ready struct{}
 
-func (ReadPlatform) action()  {}
-func (WatchPlatform) action() {}
-func (FetchEnvelope) action() {}
-func (FetchPieces) action()   {}
-func (Activate) action()      {}
-func (Reject) action()        {}
-func (Conflict) action()      {}
-func (Ready) action()         {}
+func (ReadPlatform) action()    {}
+func (WatchPlatform) action()   {}
+func (FetchEnvelope) action()   {}
+func (FetchPieces) action()     {}
+func (Activate) action()        {}
+func (Reject) action()          {}
+func (Conflict) action()        {}
+func (OlderOnPlatform) action() {}
+func (Ready) action()           {}
 
 // Content is the encoded form of a bundle that is or was in force, as served to
 // other nodes. It is immutable.
--- a/internal/rollout/cluster_test.go
+++ b/internal/rollout/cluster_test.go
@@ -94,7 +94,7 @@
 type watcher struct {
 	node    *node
 	process *rollout.Machine
-	since   uint64
+	since   platform.Position
 	until   time.Time
 }
 
@@ -300,7 +300,7 @@
 	for _, w := range c.watchers {
 		read := rollout.Read(context.Background(), c.store)
 		read.FromWatch = true
-		if read.Err == nil && read.Revision <= w.since {
+		if read.Err == nil && read.At.Revision <= w.since.Revision {
 			read.Envelope = nil
 			if c.now.Before(w.until) {
 				kept = append(kept, w)
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/platform"
 )
 
 const (
@@ -93,9 +94,17 @@
 	expires          time.Time
 	nextCall         time.Time // earliest time of the next call
 	backoff          time.Duration
-	revision         uint64
+	at               platform.Position
 	readDone         bool // cleared when a reader must read again before it watches
 	nextFallbackRead time.Time
+	older            olderBundle // last one that was reported
+}
+
+// olderBundle identifies a bundle that the platform held in an era and that is
+// older than the one in force.
+type olderBundle struct {
+	era    uint64
+	digest string
 }
 
 // Stats holds the counters of a machine since its creation.
--- a/internal/rollout/platform.go
+++ b/internal/rollout/platform.go
@@ -25,7 +25,7 @@
 	case m.reader && p.readDone:
 		m.stats.PlatformWatches++
 		m.platformCallStarted()
-		m.emit(WatchPlatform{p.revision})
+		m.emit(WatchPlatform{p.at})
 	case m.reader, m.startupStalled(), m.readsWithoutBundle(), !m.now.Before(p.nextFallbackRead):
 		m.readPlatform()
 	}
@@ -95,20 +95,34 @@
 	}
 	p.inFlight, p.backoff, p.nextCall = false, 0, m.now
 	if e.FromWatch {
-		p.revision = max(p.revision, e.Revision)
+		p.at.Revision = max(p.at.Revision, e.At.Revision)
 	} else {
 		// A lower revision than before means a stale read or a restored store.
 		// A watch that continues from it at worst returns known changes again.
-		p.revision = e.Revision
+		p.at = e.At
 		p.readDone = true
 		m.startup.platformRead = true
 	}
 	if len(e.Envelope) > 0 {
+		m.reportOlder(e)
 		m.considerEnvelope(Platform, e.Envelope)
 		m.addPieces(e.Pieces)
 	}
 }
 
+// reportOlder reports a bundle on the platform that is older than the one in
+// force.
+func (m *Machine) reportOlder(e PlatformRead) {
+	version, digest, _, err := m.verifier.Verify(e.Envelope)
+	if err != nil || version >= m.inForce.Version {
+		return
+	}
+	if older := (olderBundle{e.At.Era, digest}); older != m.platform.older {
+		m.platform.older = older
+		m.emit(OlderOnPlatform{Era: e.At.Era, Version: version, InForce: m.inForce.Version})
+	}
+}
+
 // addPieces adds pieces that were returned with an envelope to the pending
 // version.
 func (m *Machine) addPieces(pieces map[string][]byte) {
--- a/internal/rollout/shell.go
+++ b/internal/rollout/shell.go
@@ -11,20 +11,20 @@
 // Read performs ReadPlatform. It lists ActiveKey instead of getting the object,
 // because a list also returns the revision from which a watch continues.
 func Read(ctx context.Context, c platform.Client) PlatformRead {
-	objects, revision, err := c.List(ctx, ActiveKey)
-	return platformResult(objects, revision, err)
+	objects, at, err := c.List(ctx, ActiveKey)
+	return platformResult(objects, at, err)
 }
 
-// Watch performs WatchPlatform with the revision of w.
+// Watch performs WatchPlatform with the position of w.
 func Watch(ctx context.Context, c platform.Client, w WatchPlatform) PlatformRead {
-	objects, revision, err := c.Watch(ctx, ActiveKey, w.Since)
-	read := platformResult(objects, revision, err)
+	objects, at, err := c.Watch(ctx, ActiveKey, w.Since)
+	read := platformResult(objects, at, err)
 	read.FromWatch = true
 	return read
 }
 
-func platformResult(objects []platform.Object, revision uint64, err error) PlatformRead {
-	read := PlatformRead{Revision: revision, Err: err}
+func platformResult(objects []platform.Object, at platform.Position, err error) PlatformRead {
+	read := PlatformRead{At: at, Err: err}
 	for _, o := range objects {
 		if o.Key == ActiveKey && !o.Deleted {
 			read.Envelope = o.Value
--- a/internal/routing/statement_test.go
+++ b/internal/routing/statement_test.go
@@ -102,3 +102,50 @@
 		Expect(p.Explain(now.Add(time.Second))[0].Cost).To(BeNumerically("<", 5*time.Millisecond))
 	})
 })
+
+var _ = Describe("Target that says that it leaves", func() {
+	// Guards against requests to a target that leaves, through a node that has
+	// passed on its statement while nobody else knows it.
+	It("is not chosen again, until it has another start or an operator returns it", func() {
+		table := routing.NewTable(ingress("i"), routing.Config{})
+		list := targets("booking", 2)
+		rebuild := func(list []fleet.Target) *routing.Picker {
+			return table.Rebuild("booking", list, verdicts{}.of, now)
+		}
+		picks := func(p *routing.Picker, exclude ...fleet.TargetID) (fleet.TargetID, bool) {
+			choice, ok := p.Pick(routing.Request{Idempotent: true, Exclude: exclude}, 7, now)
+			if !ok {
+				return "", false
+			}
+			return choice.Target.Target().ID, true
+		}
+		p := rebuild(list)
+		choice, ok := p.Pick(routing.Request{Exclude: []fleet.TargetID{list[1].ID}}, 7, now)
+		Expect(ok).To(BeTrue())
+		choice.Target.SaysLeaving(list[0])
+		_, ok = picks(p, list[1].ID)
+		Expect(ok).To(BeFalse())
+		id, _ := picks(p)
+		Expect(id).To(Equal(list[1].ID))
+		Expect(p.Explain(now)).To(ContainElement(And(HaveField("Target", list[0].ID), HaveField("Reason", routing.ReasonDraining))))
+
+		By("being listed again after its node was gone, from a late announcement")
+		rebuild(list[1:])
+		_, ok = picks(rebuild(list), list[1].ID)
+		Expect(ok).To(BeFalse())
+
+		By("starting again under its identifier")
+		restarted := []fleet.Target{list[0], list[1]}
+		restarted[0].Started = now
+		_, ok = picks(rebuild(restarted), list[1].ID)
+		Expect(ok).To(BeTrue())
+
+		By("draining and being returned to use")
+		choice.Target.SaysLeaving(restarted[0])
+		draining := []fleet.Target{restarted[0], list[1]}
+		draining[0].State = fleet.TargetDraining
+		rebuild(draining)
+		_, ok = picks(rebuild(restarted), list[1].ID)
+		Expect(ok).To(BeTrue())
+	})
+})
