Read the store again when a watch position belongs to an earlier life of it

Seen: a configuration that was written to the restored store, at a revision that a reader had passed before, was in force only with the next one. Cause: the position of a watch was a revision alone, and revisions are given out again; max(revision, since) kept a position ahead of the store. Class of the fault: a number is compared with one of another life of its owner. Change: a watch whose answer has another era than its position is answered by a list, and a reader continues from its position, also if it is lower. A list whose pages are of two eras is read again.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -170,6 +170,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var objects []Object
+	var era uint64
 	after := ""
 	for range maxPages {
 		header, body, err := c.do(ctx, readCall, c.protocol.List(prefix, after), maxListBody)
@@ -180,10 +181,15 @@
 		if err != nil {
 			return nil, Position{}, c.countResult(fmt.Errorf("%w: %w", ErrUnavailable, err))
 		}
+		if after == "" {
+			era = c.protocol.Era(header)
+		} else if era != c.protocol.Era(header) {
+			return nil, Position{}, c.countResult(fmt.Errorf("%w: the store was restored between two pages of a list", ErrUnavailable))
+		}
 		objects = append(objects, page.Objects...)
 		c.malformed.Add(uint64(page.Malformed))
 		if page.NextAfter == "" {
-			return objects, Position{c.protocol.Era(header), page.Revision}, nil
+			return objects, Position{era, page.Revision}, nil
 		}
 		after = page.NextAfter
 	}
@@ -198,6 +204,11 @@
 	if errors.Is(err, ErrHistoryGone) {
 		return c.List(ctx, prefix)
 	}
+	if err == nil && c.protocol.Era(header) != since.Era {
+		// The revision since belongs to another life of the store. The changes
+		// after it are not those that the caller has missed.
+		return c.List(ctx, prefix)
+	}
 	if err != nil {
 		return nil, Position{}, err
 	}
--- a/internal/rollout/platform.go
+++ b/internal/rollout/platform.go
@@ -94,12 +94,14 @@
 		return
 	}
 	p.inFlight, p.backoff, p.nextCall = false, 0, m.now
-	if e.FromWatch {
+	if e.FromWatch && e.At.Era == p.at.Era {
 		p.at.Revision = max(p.at.Revision, e.At.Revision)
 	} else {
 		// A lower revision than before means a stale read or a restored store.
 		// A watch that continues from it at worst returns known changes again.
 		p.at = e.At
+	}
+	if !e.FromWatch {
 		p.readDone = true
 		m.startup.platformRead = true
 	}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -137,6 +137,21 @@
 		Expect(has(rollout.ReadPlatform{}, m.Step(now.Add(800*time.Millisecond), rollout.Tick{}))).To(BeFalse(), "once per delay")
 	})
 
+	// Guards against a reader that waits at a revision that the restored store
+	// reaches later, and misses the changes up to it.
+	It("watches from the lower revision of a store that was restored", func() {
+		m := rollout.New("n1", verifier{}, rollout.Config{DataCentre: "dc", Readers: 1, ReadDelay: -1})
+		now := time.Unix(1_700_000_000, 0)
+		m.Step(now, rollout.Tick{})
+		m.Step(now, rollout.PlatformRead{At: platform.Position{Era: 1, Revision: 16}})
+		now = now.Add(5 * time.Second)
+		m.Step(now, rollout.Tick{})
+		Expect(m.Step(now, rollout.PlatformRead{FromWatch: true, At: platform.Position{Era: 1, Revision: 15}})).
+			To(ContainElement(rollout.WatchPlatform{Since: platform.Position{Era: 1, Revision: 16}}))
+		Expect(m.Step(now, rollout.PlatformRead{FromWatch: true, At: platform.Position{Era: 2, Revision: 12}})).
+			To(ContainElement(rollout.WatchPlatform{Since: platform.Position{Era: 2, Revision: 12}}))
+	})
+
 	It("transfers only the pieces that changed", func() {
 		c := newCluster(2, 10, 2, failSpec)
 		big := func(s string) string { return strings.Repeat(s, 10_000) }
