Write node records again after the store has come back from an older copy

Seen: after the store had lost the records of the relays, none came back; nodes that started later and had no seed that answered found nobody. Cause: a node that had registered believed so for ever. Class of the fault: what is believed written belongs to one life of the store. Change: nodes pass on the highest era that they know of in their datagrams, so that those that rarely call the store learn of a new one; a node that had registered does so again within a second, spread at random, without the version of the lost record as a condition.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -161,6 +161,7 @@
 }
 
 func (c *control) receive(from string, d *controlv1.Datagram) {
+	c.node.platform.eraSeen(d.GetStoreEra())
 	if version := d.GetBundleVersion(); version > c.version.Load() {
 		c.stepRollout(rollout.PeerVersion{From: fleet.NodeID(d.GetFrom()), Version: version})
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -33,6 +33,9 @@
 	// discoveryInterval is the time between two looks of a registered node. They
 	// find nodes that membership has lost permanently.
 	discoveryInterval = 2 * time.Minute
+	// discoveryRestoreSpread is the time over which the relays write their
+	// records again after the store has come back from an older copy.
+	discoveryRestoreSpread = time.Second
 	// discoveryPoll is the time between two checks of what is due, and
 	// discoveryIdlePoll the same for a node that has peers.
 	discoveryPoll     = 100 * time.Millisecond
@@ -68,10 +71,13 @@
 type discoveryPlan struct {
 	random     *rand.Rand
 	registered bool
-	looked     bool
-	notBefore  time.Time
-	lastLook   time.Time
-	retry      time.Duration
+	// lost is set while a record that this node had written must be assumed
+	// lost.
+	lost      bool
+	looked    bool
+	notBefore time.Time
+	lastLook  time.Time
+	retry     time.Duration
 }
 
 func newDiscoveryPlan(now time.Time, firstStart bool, seed uint64) *discoveryPlan {
@@ -95,7 +101,7 @@
 		return discoveryIdle
 	case !joined && !p.looked:
 		return discoveryLook
-	case relay && !p.registered:
+	case (relay || p.lost) && !p.registered:
 		return discoveryRegister
 	case !joined, p.registered && now.Sub(p.lastLook) >= discoveryInterval:
 		return discoveryLook
@@ -104,6 +110,15 @@
 	}
 }
 
+// restored makes the plan register again if it had: the store may have lost the
+// record.
+func (p *discoveryPlan) restored(now time.Time) {
+	if p.registered {
+		p.registered, p.lost = false, true
+		p.notBefore, p.retry = now.Add(time.Duration(p.random.Int64N(int64(discoveryRestoreSpread)))), discoveryRetryMin
+	}
+}
+
 // done takes the result of a call into account. found is the number of other
 // registered nodes.
 func (p *discoveryPlan) done(now time.Time, action discoveryAction, found int, err error) {
@@ -112,7 +127,9 @@
 		return
 	}
 	p.looked, p.lastLook = true, now
-	p.registered = p.registered || action == discoveryRegister
+	if action == discoveryRegister {
+		p.registered, p.lost = true, false
+	}
 	switch {
 	case found > 0:
 		p.notBefore, p.retry = now.Add(discoveryJoinWait), discoveryRetryMin
@@ -130,6 +147,8 @@
 	// current tells whether that record has the current incarnation.
 	version uint64
 	current bool
+	// era is the highest era of the store that eraRisen has seen.
+	era uint64
 }
 
 // run makes the calls that are due until ctx ends.
@@ -137,22 +156,38 @@
 	plan := newDiscoveryPlan(time.Now(), d.node.settings.Load().Deployment.FirstStart, d.node.self.Incarnation)
 	for {
 		joined := d.node.control.joined.Load()
+		if d.eraRisen() {
+			plan.restored(time.Now())
+		}
 		if action := plan.next(time.Now(), joined, d.node.control.relay.Load()); action != discoveryIdle {
 			found, err := d.call(ctx, action)
 			plan.done(time.Now(), action, found, err)
 		}
 		wait := discoveryPoll
-		if joined {
+		if joined && !plan.lost {
 			wait = discoveryIdlePoll
 		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-d.node.platform.eraRisen:
 		case <-time.After(wait):
 		}
 	}
 }
 
+// eraRisen reports whether the store has come back from an older copy since the
+// last call of eraRisen, and forgets what is known of this node's record then.
+func (d *discovery) eraRisen() bool {
+	known, era := d.era, d.node.platform.era.Load()
+	d.era = max(known, era)
+	if known == 0 || era <= known {
+		return false
+	}
+	d.version, d.current = 0, false
+	return true
+}
+
 // call makes the calls of an action and returns the number of other registered
 // nodes.
 func (d *discovery) call(ctx context.Context, action discoveryAction) (found int, err error) {
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -137,6 +137,26 @@
 		Expect(f.calls).To(Equal(before + 2))
 	})
 
+	// Guards against a storm of writes, and against records that stay lost,
+	// after the store has come back from an older copy.
+	DescribeTable("writes lost records again within a second, with two calls for each", func(size, centres int) {
+		f := newDiscoveringFleet(size, centres, true, 1)
+		f.run(8 * time.Second)
+		before := f.calls
+		for _, n := range f.nodes {
+			n.plan.restored(f.now)
+			n.registered = false
+		}
+		f.run(100 * time.Millisecond)
+		Expect(f.calls-before).To(BeNumerically("<=", 2*centres*relaysPerCentre/2), "spread over a second")
+		f.run(time.Second)
+		Expect(f.calls - before).To(Equal(2 * centres * relaysPerCentre))
+		for i, n := range f.nodes {
+			Expect(n.registered).To(Equal(i < centres*relaysPerCentre))
+		}
+	},
+		Entry("19 nodes", 19, 4), Entry("95 nodes", 95, 4), Entry("232 nodes", 232, 6), Entry("3,300 nodes", 3300, 20))
+
 	It("looks again in a while, for nodes that membership has lost", func() {
 		f := newDiscoveringFleet(30, 3, true, 1)
 		f.run(5 * time.Second)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,7 +83,7 @@
 	if n.verifier, err = newVerifier(s.Trust); err != nil {
 		return nil, err
 	}
-	n.platform = &observedPlatform{log: n.log}
+	n.platform = &observedPlatform{log: n.log, eraRisen: make(chan struct{}, 1)}
 	if adapter != nil {
 		n.platform.Client = adapter.PlatformClient()
 		n.bundles = adapterSource{adapter, n.platform}
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -19,22 +19,26 @@
 	// lastFault is the number of the event logged last, 0 while calls succeed.
 	lastFault atomic.Int64
 
+	// era is the highest era of the store that this node or a peer has seen.
+	era atomic.Uint64
+	// eraRisen wakes discovery after a rise of era.
+	eraRisen chan struct{}
+
 	mu sync.Mutex
-	// at is the newest position that an answer had; known is set by the first
-	// one.
-	at    platform.Position
-	known bool
+	// at is the newest position that an answer had.
+	at platform.Position
 }
 
 // observePosition records the position of an answer and logs when the store has
 // come back from an older copy.
 func (p *observedPlatform) observePosition(at platform.Position) {
 	p.mu.Lock()
-	before, restored := p.at, p.known && at.Era > p.at.Era
-	if !p.known || at.Era > p.at.Era || at.Era == p.at.Era && at.Revision > p.at.Revision {
-		p.at, p.known = at, true
+	before, restored := p.at, p.at.Era > 0 && at.Era > p.at.Era
+	if at.Era > p.at.Era || at.Era == p.at.Era && at.Revision > p.at.Revision {
+		p.at = at
 	}
 	p.mu.Unlock()
+	p.eraSeen(at.Era)
 	if restored {
 		p.log.Log(event.PlatformRestored, event.Fields{
 			"era": at.Era, "revision": at.Revision, "beforeEra": before.Era, "beforeRevision": before.Revision,
@@ -42,6 +46,23 @@
 	}
 }
 
+// eraSeen records an era of the store that an answer or a peer stated.
+func (p *observedPlatform) eraSeen(era uint64) {
+	for {
+		known := p.era.Load()
+		if era <= known {
+			return
+		}
+		if p.era.CompareAndSwap(known, era) {
+			break
+		}
+	}
+	select {
+	case p.eraRisen <- struct{}{}:
+	default: // discovery has not yet seen the last rise
+	}
+}
+
 // observe logs the beginning of a fault, a change of its kind and its end
 // instead of each failed call.
 func (p *observedPlatform) observe(err error) {
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -80,6 +80,7 @@
 // send sends a datagram to peers. An error is treated like a packet lost in the
 // network; the transport counts it.
 func (c *control) send(d *controlv1.Datagram, to ...string) {
+	d.StoreEra = c.node.platform.era.Load()
 	c.traffic.count(to, d)
 	_ = c.transport.SendAll(to, d)
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -73,7 +73,7 @@
 type Position struct {
 	// Era rises each time the store comes back from an older copy, which gives
 	// revisions out again. Revisions of different eras cannot be compared. It is
-	// 0 if the platform does not tell.
+	// 0 if the platform does not tell, otherwise one more than what it states.
 	Era uint64
 	// Revision increases with each change within one era.
 	Revision uint64
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -26,8 +26,7 @@
 	DecodeObject(key string, header http.Header, body []byte) (Object, error)
 	DecodePage(prefix string, body []byte) (Page, error)
 	DecodeChanges(prefix string, body []byte) (objects []Object, revision uint64, err error)
-	// Era returns the era of the store that an answer states; 0 if it states
-	// none.
+	// Era returns the era of the store that an answer states, see ParseEra.
 	Era(header http.Header) uint64
 	// StatusError returns the error for a status to which this variant gives a
 	// meaning of its own, and nil for all others.
@@ -126,14 +125,14 @@
 
 func (defaultProtocol) Era(header http.Header) uint64 { return ParseEra(header.Get(headerEra)) }
 
-// ParseEra returns the era in s, or 0, which stands for no statement, if s is
-// not a decimal number.
+// ParseEra returns the Position.Era for the decimal number that an answer
+// states; 0 if s is empty or malformed.
 func ParseEra(s string) uint64 {
-	era, err := strconv.ParseUint(s, 10, 64)
+	era, err := strconv.ParseUint(s, 10, 63)
 	if err != nil {
 		return 0
 	}
-	return era
+	return era + 1
 }
 
 func (defaultProtocol) StatusError(status int) error {
