Follow an operator who goes on from an older copy of the store

Seen: after the store had come back older, a new configuration with a version below the one in force, or the same one, was ignored until the operator's numbers had passed it. Cause: the version that the operator states was also the order among nodes. Class of the fault: numbers of two lives of the store are compared. Change: nodes order configurations by the stated version plus an offset that the configuration in force carries. Content that was in force before never goes back into force: the store is behind, or the operator writes it again. New content with a lower or equal version, from an era in which the store has not held the one in force, is ordered above that after it has stood for two seconds and was read again. Peers hand the order on; no message has a new field. The check that the content's version equals the manifest's now holds that it is not higher, because the manifest has the ordered version. Ruled out: to take whatever the store holds in a new era (goes back while the operator writes again), the era as part of each version on the wire (every comparison of versions in membership would change).

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -121,6 +121,7 @@
 type adapterSource struct {
 	adapter Adapter
 	client  platform.Client
+	lineage *lineage
 }
 
 func (s adapterSource) Read(ctx context.Context) rollout.Event {
@@ -128,23 +129,34 @@
 }
 
 func (s adapterSource) Watch(ctx context.Context, w rollout.WatchPlatform) rollout.Event {
-	read := s.platformRead(s.adapter.WatchConfiguration(ctx, s.client, w.Since))
+	content, at, err := s.adapter.WatchConfiguration(ctx, s.client, w.Since)
+	if err == nil && s.lineage.due(time.Now()) {
+		// Watches may miss changes; only a read shows what the store holds.
+		content, at, err = s.adapter.ReadConfiguration(ctx, s.client)
+	}
+	read := s.platformRead(content, at, err)
 	read.FromWatch = true
 	return read
 }
 
-// platformRead wraps a configuration in an envelope without signatures.
+// platformRead wraps a configuration in an envelope without signatures. The
+// version of the envelope is the ordered version.
 func (s adapterSource) platformRead(content []byte, at platform.Position, err error) rollout.PlatformRead {
 	read := rollout.PlatformRead{At: at, Err: err}
 	if err != nil || len(content) == 0 {
 		return read
 	}
-	version, err := s.adapter.ConfigurationVersion(content)
+	stated, err := s.adapter.ConfigurationVersion(content)
 	if err != nil {
 		read.Err = err
 		return read
 	}
-	manifest, pieces := bundle.NewManifest(version, content)
+	manifest, pieces := bundle.NewManifest(stated, content)
+	ordered, ok := s.lineage.order(stated, manifest.Digest, at.Era, time.Now())
+	if !ok {
+		return read
+	}
+	manifest.Version = ordered
 	read.Pieces = pieces
 	read.Envelope, read.Err = (&bundle.Envelope{Manifest: manifest, Signatures: []bundle.Signature{}}).Encode()
 	return read
@@ -166,7 +178,8 @@
 
 // Assemble joins the pieces and parses the configuration through the adapter.
 // The result is a *bundle.Bundle. The error wraps bundle.ErrContent when the
-// version of the content differs from that of the manifest.
+// version of the content is higher than that of the manifest, which is the
+// ordered version, see lineage.
 func (v unsignedVerifier) Assemble(encoded []byte, pieces map[string][]byte) (any, error) {
 	e, err := bundle.DecodeEnvelope(encoded)
 	if err != nil {
@@ -180,7 +193,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if b.Version != e.Manifest.Version {
+	if b.Version > e.Manifest.Version {
 		return nil, fmt.Errorf("%w: content has version %d, manifest has version %d", bundle.ErrContent, b.Version, e.Manifest.Version)
 	}
 	return b, nil
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -88,11 +88,14 @@
 	// this node is one of the relays of its data centre.
 	joined, relay atomic.Bool
 
-	ready    atomic.Bool
-	version  atomic.Uint64
-	content  atomic.Pointer[rollout.Content]
-	counts   atomic.Pointer[counts]
-	lastTick atomic.Int64 // Unix nanoseconds
+	ready atomic.Bool
+	// version orders the bundle in force among those of all nodes, and
+	// statedVersion is the version that its operator gave it. They differ only
+	// with an adapter, see lineage.
+	version, statedVersion atomic.Uint64
+	content                atomic.Pointer[rollout.Content]
+	counts                 atomic.Pointer[counts]
+	lastTick               atomic.Int64 // Unix nanoseconds
 }
 
 // counts holds sizes and packet counters of the control state for metrics.
--- /dev/null
+++ b/internal/node/lineage.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// lineageSettle is how long the store must hold a lower version in a new era
+	// before it replaces the one in force. An operator who writes again what the
+	// store has lost may pass through versions that this node has skipped.
+	lineageSettle = 2 * time.Second
+	// maxSeenConfigurations is the number of configurations that are recognised
+	// as former ones.
+	maxSeenConfigurations = 256
+)
+
+// lineage orders the configurations that the store holds. Nodes follow the
+// highest ordered version, which is the version that the operator states plus an
+// offset.
+//
+// A store that comes back from an older copy holds a lower version than the one
+// in force. If that configuration was in force before, the store is behind: the
+// one in force stays, and the operator will write it again. If it is a new one,
+// the operator goes on from the older copy; the offset is then raised, so that
+// the new configuration and those after it are ordered above the one in force.
+// The offset needs no agreement: it follows from the configuration in force,
+// which carries both of its versions, and peers hand that on.
+type lineage struct {
+	mu sync.Mutex
+	// ordered, stated and digest belong to the configuration in force.
+	ordered, stated uint64
+	digest          string
+	// seen are the digests of configurations that are or were in force, newest
+	// last.
+	seen []string
+	// era is the highest era in which the store was seen to hold the
+	// configuration in force or a newer one; 0 if none.
+	era       uint64
+	candidate candidate
+}
+
+// candidate is a new configuration with a lower version, from an era in which
+// the store has not held the one in force.
+type candidate struct {
+	digest string
+	era    uint64
+	since  time.Time
+}
+
+// activated records that a configuration is in force. It reports whether the
+// offset between ordered and stated versions has changed.
+func (l *lineage) activated(ordered, stated uint64, digest string) (offsetChanged bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	offsetChanged = l.ordered > 0 && ordered-stated != l.offset()
+	l.ordered, l.stated, l.digest = ordered, stated, digest
+	if !slices.Contains(l.seen, digest) {
+		l.seen = append(l.seen, digest)
+		l.seen = l.seen[max(0, len(l.seen)-maxSeenConfigurations):]
+	}
+	if l.candidate.digest == digest {
+		l.era = max(l.era, l.candidate.era)
+	}
+	l.candidate = candidate{}
+	return offsetChanged
+}
+
+func (l *lineage) offset() uint64 { return l.ordered - l.stated }
+
+// order returns the ordered version of a configuration that the store holds in
+// the given era. ok is false while it is not decided: the version is that of the
+// configuration in force, but the content is not.
+func (l *lineage) order(stated uint64, digest string, era uint64, now time.Time) (ordered uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if stated > l.stated || digest == l.digest {
+		l.era, l.candidate = max(l.era, era), candidate{}
+		return stated + l.offset(), true
+	}
+	if l.era == 0 || era <= l.era || slices.Contains(l.seen, digest) {
+		l.candidate = candidate{}
+		return stated + l.offset(), true
+	}
+	if l.candidate.digest != digest || l.candidate.era != era {
+		l.candidate = candidate{digest: digest, era: era, since: now}
+	}
+	if now.Sub(l.candidate.since) >= lineageSettle {
+		return l.ordered + 1, true
+	}
+	return stated + l.offset(), stated != l.stated
+}
+
+// due reports whether the store must be read again to decide about a
+// configuration with a lower version.
+func (l *lineage) due(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.candidate.digest != "" && now.Sub(l.candidate.since) >= lineageSettle
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,7 @@
 	platform     *observedPlatform
 	adapter      Adapter // nil without a platform adapter
 	bundles      bundleSource
+	lineage      lineage // used with an adapter
 	pool         *link.Pool
 	remote       *link.Remote
 	peers        *peerCalls
@@ -86,7 +87,7 @@
 	n.platform = &observedPlatform{log: n.log, eraRisen: make(chan struct{}, 1)}
 	if adapter != nil {
 		n.platform.Client = adapter.PlatformClient()
-		n.bundles = adapterSource{adapter, n.platform}
+		n.bundles = adapterSource{adapter, n.platform, &n.lineage}
 	} else {
 		n.platform.Client = platform.NewHTTP(s.Platform.Address, string(s.Platform.Token), platform.DefaultBudget())
 		n.bundles = signedSource{n.platform}
@@ -253,7 +254,7 @@
 	}
 	n.metrics.RegisterGauge("siskinvale_ingress_in_flight", func() float64 { return float64(n.ingress.InFlight()) })
 	n.metrics.RegisterGauge("siskinvale_sidecar_in_flight", func() float64 { return float64(n.sidecar.InFlight()) })
-	n.metrics.RegisterGauge("siskinvale_bundle_version", func() float64 { return float64(n.control.version.Load()) })
+	n.metrics.RegisterGauge("siskinvale_bundle_version", func() float64 { return float64(n.control.statedVersion.Load()) })
 	n.metrics.RegisterGauge("siskinvale_answers_mismatched", func() float64 { return float64(n.remote.Mismatched.Load()) })
 	n.metrics.RegisterGauge("siskinvale_known_targets", func() float64 { return float64(n.control.counts.Load().targets) })
 	n.metrics.RegisterGauge("siskinvale_known_nodes", func() float64 { return float64(n.control.counts.Load().nodes) })
@@ -273,6 +274,6 @@
 	n.metrics.RegisterGauge("siskinvale_control_lag_seconds", func() float64 { return n.control.lag().Seconds() })
 }
 
-// BundleVersion returns the version of the bundle in force on this node, 0 if
-// there is none.
-func (n *Node) BundleVersion() uint64 { return n.control.version.Load() }
+// BundleVersion returns the version of the bundle in force on this node as its
+// operator states it, 0 if there is none.
+func (n *Node) BundleVersion() uint64 { return n.control.statedVersion.Load() }
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -52,7 +52,7 @@
 		c.node.log.Log(event.BundleOlderOnPlatform, event.Fields{"version": a.Version, "inForce": a.InForce, "era": a.Era})
 	case rollout.Ready:
 		c.ready.Store(true)
-		c.node.log.Log(event.NodeReady, event.Fields{"version": c.version.Load()})
+		c.node.log.Log(event.NodeReady, event.Fields{"version": c.statedVersion.Load()})
 	}
 }
 
@@ -122,6 +122,10 @@
 	content := c.rollout.Content()
 	c.content.Store(&content)
 	c.version.Store(a.Version)
+	c.statedVersion.Store(b.Version)
+	if c.node.adapter != nil && c.node.lineage.activated(a.Version, b.Version, a.Digest) {
+		c.node.log.Log(event.BundleOrderChanged, event.Fields{"version": b.Version, "ordered": a.Version})
+	}
 	c.node.sidecar.SetBundle(b)
 	for _, t := range c.targetsByID {
 		c.addHealthTarget(t)
@@ -129,7 +133,7 @@
 	}
 	c.viewChanged, c.viewUrgent = true, true
 	c.stepMembers(membership.BundleActivated{Version: a.Version})
-	c.node.log.Log(event.BundleActivated, event.Fields{"version": a.Version, "digest": a.Digest, "bundle": b.Name})
+	c.node.log.Log(event.BundleActivated, event.Fields{"version": b.Version, "digest": a.Digest, "bundle": b.Name})
 }
 
 // startSync exchanges membership and target records with the node at addr in
