Let the stand-in of the platform come back from an older copy

Cause: tests of the product's own interface could not play a store that loses what it has acknowledged. Change: a switch restores the objects of some time ago; all answers state the era, which is part of the contract of the object API from now on.

--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -64,6 +64,10 @@
 	// WatchesSilent leaves watches without an answer, even after their wait
 	// time.
 	WatchesSilent bool `json:"watchesSilent"`
+	// RestoreFrom replaces the objects, when the switch is set, by those of this
+	// long ago: what was written since is gone, versions are given out again,
+	// and the era in all answers rises by one.
+	RestoreFrom Duration `json:"restoreFrom"`
 }
 
 // Validate returns an error that names each switch with an invalid value.
@@ -118,7 +122,7 @@
 	p.faults.onChange = p.faultsChanged
 	e := newRouter()
 	p.faults.register(e, func() any { return p.Calls() })
-	v1 := e.Group("/v1", p.authenticate)
+	v1 := e.Group("/v1", p.stateEra, p.authenticate)
 	v1.GET("/objects", p.readHandler(p.list))
 	v1.GET("/objects/*", p.readHandler(p.get))
 	v1.PUT("/objects/*", p.writeHandler(p.put))
@@ -163,6 +167,9 @@
 func (p *Platform) faultsChanged(_ echo.Context, old, current PlatformFaults) {
 	setLimit(p.reads, p.cfg.ReadsPerSecond, current.ReadsPerSecond)
 	setLimit(p.writes, p.cfg.WritesPerSecond, current.WritesPerSecond)
+	if age := time.Duration(current.RestoreFrom); age > 0 {
+		p.store.restore(time.Now().Add(-age))
+	}
 	p.mu.Lock()
 	close(p.faultsUpdated)
 	p.faultsUpdated = make(chan struct{})
@@ -193,6 +200,16 @@
 	l.SetLimit(rate.Limit(limit))
 }
 
+// stateEra adds the era of the store to every answer.
+func (p *Platform) stateEra(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() {
+			c.Response().Header().Set("Platform-Era", strconv.FormatUint(p.store.currentEra(), 10))
+		})
+		return next(c)
+	}
+}
+
 func (p *Platform) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
 	want := []byte("Bearer " + p.cfg.Token)
 	return func(c echo.Context) error {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -165,6 +165,21 @@
 		Expect(limited.header.Get("Retry-After")).To(Equal("1"))
 	})
 
+	It("comes back from an older copy, with another era", func() {
+		key := base + "/v1/objects/bundle/active"
+		call("PUT", key, "one", "If-None-Match", "*")
+		Expect(call("GET", key, "").header.Get("Platform-Era")).To(Equal("0"))
+		time.Sleep(20 * time.Millisecond)
+		call("PUT", key, "two", "If-Match", `"1"`)
+		call("PUT", base+"/v1/objects/other", "x", "If-None-Match", "*")
+		Expect(platform.SetFaultsJSON(`{"restoreFrom":"10ms"}`)).To(Succeed())
+		restored := call("GET", key, "")
+		Expect(restored.body).To(Equal("one"))
+		Expect(restored.header.Get("Platform-Era")).To(Equal("1"))
+		Expect(call("GET", base+"/v1/objects/other", "").status).To(Equal(404))
+		Expect(call("PUT", key, "again", "If-Match", `"1"`).header.Get("ETag")).To(Equal(`"2"`))
+	})
+
 	It("requires the bearer token for the object API", func() {
 		serve(standin.PlatformConfig{Token: "secret"})
 		Expect(call("GET", base+"/v1/objects/k", "").status).To(Equal(401))
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -48,6 +49,7 @@
 type store struct {
 	mu       sync.Mutex
 	revision uint64
+	era      uint64             // number of restores
 	objects  map[string][]entry // by key, oldest version first; tombstones are kept so that watches report deletes
 	changed  chan struct{}      // closed and replaced by each write
 }
@@ -103,6 +105,32 @@
 	return s.revision
 }
 
+// restore drops what was written after the given time. Later writes get the same
+// revisions again.
+func (s *store) restore(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = 0
+	for key, entries := range s.objects {
+		kept := slices.DeleteFunc(entries, func(e entry) bool { return e.writtenAt.After(at) })
+		if len(kept) == 0 {
+			delete(s.objects, key)
+			continue
+		}
+		s.objects[key] = kept
+		s.revision = max(s.revision, latest(kept).version)
+	}
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // get returns the object's version at the given time.
 func (s *store) get(at time.Time, key string) (entry, error) {
 	s.mu.Lock()
