Apply the rate limit of a target before another call can see that it is known

Cause: the limit was marked as known before it was set in the gate; calls in between took it for done and found free slots. Change: the gate gets the limit while the state is locked, also for limits that answers state.

--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -69,6 +69,10 @@
 // requests that were sent to the target while it was in force. It is safe for
 // concurrent use.
 type rateState struct {
+	// apply puts a limit into force. It is called with mu held, so that no
+	// request passes between the change and its effect.
+	apply func(limit float64)
+
 	mu    sync.Mutex
 	known bool
 	// limit is the number of requests per second; 0 for none.
@@ -113,6 +117,7 @@
 	r.known, r.limit = true, limit
 	if changed {
 		r.since, r.arrivals = now, nil
+		r.apply(limit)
 	}
 	return previous, changed
 }
@@ -126,6 +131,7 @@
 		return false
 	}
 	r.known, r.limit, r.since, r.statedAt = true, limit, now, now
+	r.apply(limit)
 	return true
 }
 
@@ -180,7 +186,6 @@
 		return
 	}
 	if previous, changed := t.rates.update(notice.RateLimit, sent, t.clock()); changed {
-		t.gate.SetRateLimit(notice.RateLimit)
 		t.report(event.RateLimitChanged, event.Fields{"perSecond": notice.RateLimit, "before": previous, "source": "answer"})
 	}
 	if notice.Leaving && !t.saidLeaving.Swap(true) {
@@ -195,7 +200,6 @@
 // and the requests before it would exceed a low one.
 func (t *target) learnRateLimit(limit float64) {
 	if t.rates.learn(limit, t.clock()) {
-		t.gate.SetRateLimit(limit)
 		t.report(event.RateLimitChanged, event.Fields{"perSecond": limit, "before": 0, "source": "call"})
 	}
 }
--- a/internal/sidecar/notice_test.go
+++ b/internal/sidecar/notice_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -89,6 +90,30 @@
 		Expect(replies).To(HaveKey(fleet.NotRun))
 	})
 
+	// Guards against calls that pass between the moment at which the limit is
+	// known and the one at which it holds.
+	It("holds for all calls that arrive together with the one that makes it known", func() {
+		s := newSidecar("127.0.0.1:1", nil)
+		var admitted atomic.Int64
+		for i := range 2000 {
+			// Another number of slots makes it another process, of which nothing
+			// is known.
+			s.SetTarget(fleet.Target{ID: "t1", Service: "booking", Node: "n1", Addr: "127.0.0.1:1", Slots: 5 + i%2})
+			var together sync.WaitGroup
+			for range 4 {
+				together.Go(func() {
+					call := lookup(time.Second)
+					call.RateLimit, call.NoWait = 1, true
+					if reply := s.Forward(context.Background(), call); !reply.Busy {
+						admitted.Add(1)
+					}
+				})
+			}
+			together.Wait()
+		}
+		Expect(admitted.Load()).To(BeZero())
+	})
+
 	It("ends with the first answer without one, to a request that was sent after the last answer with one", func() {
 		t, s := startStandin(standin.TargetFaults{RateLimit: 2})
 		forwardFor(s, 100*time.Millisecond, 1, nil)
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -99,6 +99,7 @@
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
+	t.rates.apply = t.gate.SetRateLimit
 	t.update(info)
 	return t
 }
