Heed that a target leaves also if its rate limit cannot be read

Cause: found by reading. A malformed rate limit ended the handling of an answer before the statement that the target leaves was looked at. Change: only the malformed part is left out. Measured: the new spec fails before and passes after.

--- a/internal/sidecar/dialect.go
+++ b/internal/sidecar/dialect.go
@@ -18,7 +18,8 @@
 	// the request, and whether the answer belongs to it.
 	Classify(resp *http.Response, t fleet.Target, call *link.Call) AnswerKind
 	// Notice reads from the header of an answer what the target states about
-	// itself. A malformed statement is an error.
+	// itself. A malformed rate limit is an error; the rest of the notice is valid
+	// then, too.
 	Notice(h http.Header) (Notice, error)
 }
 
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -183,9 +183,7 @@
 	notice, err := read(h)
 	if err != nil {
 		t.report(event.NoticeMalformed, event.Fields{"error": err.Error()})
-		return
-	}
-	if previous, changed := t.rates.update(notice.RateLimit, sent, t.clock()); changed {
+	} else if previous, changed := t.rates.update(notice.RateLimit, sent, t.clock()); changed {
 		t.report(event.RateLimitChanged, event.Fields{"perSecond": notice.RateLimit, "before": previous, "source": "answer"})
 	}
 	if notice.Leaving && !t.saidLeaving.Swap(true) {
--- a/internal/sidecar/notice_test.go
+++ b/internal/sidecar/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -145,3 +146,29 @@
 		Entry("none", "", 0.0, false), Entry("fraction", "2.5", 2.5, false), Entry("zero still limits", "0", 1e-3, false),
 		Entry("negative", "-1", 0.0, true), Entry("text", "many", 0.0, true), Entry("infinite", "Inf", 0.0, true), Entry("not a number", "NaN", 0.0, true))
 })
+
+var _ = Describe("Target that says that it leaves", func() {
+	// Guards against calls to a target that has said that it is about to stop,
+	// also if the rest of what it states cannot be read.
+	It("gets no new call after its answer, and its owner is told once", func() {
+		s := newSidecar(startTarget(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(link.HeaderRequestID, r.Header.Get(link.HeaderRequestID))
+			w.Header().Set(link.HeaderRateLimit, "many")
+			w.Header().Set(link.HeaderLeaving, "1")
+		}), nil)
+		told := 0
+		s.SetLeaving(func(t fleet.Target) {
+			Expect(t.ID).To(Equal(fleet.TargetID("t1")))
+			told++
+		})
+		first := s.Forward(context.Background(), lookup(time.Second))
+		first.Body.Close()
+		Expect(first.Status).To(Equal(http.StatusOK))
+		Expect(first.Leaving).To(BeTrue())
+		second := s.Forward(context.Background(), lookup(time.Second))
+		Expect(second).To(And(HaveField("Outcome", fleet.NotRun), HaveField("Dispatched", false), HaveField("Leaving", true)))
+		Expect(told).To(Equal(1))
+		load, _ := s.Load("t1")
+		Expect(load.RateUnknown).To(BeTrue())
+	})
+})
