--- a/review/harness/latebeat.go
+++ b/review/harness/latebeat.go
@@ -7,7 +7,7 @@
 
 const (
 	// beatLate is how late one heartbeat arrives.
-	beatLate = 4 * time.Second
+	beatLate = 2500 * time.Millisecond
 	// contact is contact_ms of the site.
 	contact = 3 * time.Second
 )
@@ -37,13 +37,13 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	ackAt := time.Now()
-	time.Sleep(time.Second)
+	time.Sleep(500 * time.Millisecond)
 	var startedAt time.Time
 	if trouble {
 		for _, m := range f.machines {
 			m.kill()
 		}
-		time.Sleep(time.Second)
+		time.Sleep(500 * time.Millisecond)
 		for _, m := range f.machines {
 			if err := m.start(); err != nil {
 				return nil, err
@@ -51,7 +51,7 @@
 		}
 		startedAt = time.Now()
 	} else {
-		time.Sleep(time.Second)
+		time.Sleep(500 * time.Millisecond)
 		startedAt = time.Now()
 	}
 	time.Sleep(contact)
