--- a/review/harness/lost.go
+++ b/review/harness/lost.go
@@ -6,11 +6,8 @@
 	"time"
 )
 
-const (
-	// grace is grace_s of the site, lossSlack loss_slack_ms.
-	grace     = 6 * time.Second
-	lossSlack = 200 * time.Millisecond
-)
+// lossSlack is loss_slack_ms of the site.
+const lossSlack = 200 * time.Millisecond
 
 // stopQueued: a node is stopped as planned while requests of its clients wait
 // for a slot of a busy service. Each of them must get an answer.
@@ -25,23 +22,19 @@
 	c.wave(from, 0, 500*time.Millisecond)
 	c.leaveAndEnd(busy[:2])
 	c.wave(from, 500*time.Millisecond, stopAt)
+	termAt := time.Now()
 	if trouble {
 		stopped.process.Process.Signal(syscall.SIGTERM)
 		f.rec.log("node %s gets SIGTERM", stopped.name)
+		go func() {
+			<-stopped.exited
+			f.rec.log("node %s has ended %.3f s after SIGTERM", stopped.name, time.Since(termAt).Seconds())
+		}()
 	}
-	termAt := time.Now()
 	// The platform asks for readiness once a second, and clients get no new
 	// work after two misses.
 	c.wave(from, stopAt, stopAt+2*time.Second)
 	c.wave(from[1:], stopAt+2*time.Second, stopAt+6*time.Second)
-	if trouble {
-		select {
-		case <-stopped.exited:
-			f.rec.log("node %s has ended", stopped.name)
-		case <-time.After(time.Until(termAt.Add(grace))):
-			f.rec.log("node %s has not ended after grace_s", stopped.name)
-		}
-	}
 	c.waiting.Wait()
 	reached := make(map[string]bool)
 	for _, m := range busy {
