Count the reads of the configuration by reason

Logs and metrics did not tell which nodes read the store and why, so that a reader without success could not be told from a node that never tried.

The conditions of callPlatform become one list of reasons, each with its bound, and the metric siskinvale_bundle_reads has a series for each.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -102,6 +102,7 @@
 type counts struct {
 	nodes, targets int
 	udp            membership.TransportCounts
+	rollout        rollout.Stats
 }
 
 // status is the part of the control state that is shown to operators.
@@ -237,7 +238,7 @@
 		c.stepTargets(announce.Tick{})
 		c.stepRollout(rollout.Tick{})
 		c.sendEvidence()
-		c.counts.Store(&counts{nodes: len(c.nodes), targets: len(c.targetsByID), udp: c.transport.Counts()})
+		c.counts.Store(&counts{nodes: len(c.nodes), targets: len(c.targetsByID), udp: c.transport.Counts(), rollout: c.rollout.Stats()})
 	}
 	if c.ticks%reportTicks == 0 {
 		c.reportFaults()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"siskinvale.dev/siskinvale/internal/metric"
 	"siskinvale.dev/siskinvale/internal/operation"
 	"siskinvale.dev/siskinvale/internal/platform"
+	"siskinvale.dev/siskinvale/internal/rollout"
 	"siskinvale.dev/siskinvale/internal/sidecar"
 )
 
@@ -260,6 +261,11 @@
 	n.metrics.RegisterGauge("siskinvale_known_nodes", func() float64 { return float64(n.control.counts.Load().nodes) })
 	n.metrics.RegisterGauge("siskinvale_udp_sent_bytes", func() float64 { return n.control.udpCounter(sentBytes) })
 	n.metrics.RegisterGauge("siskinvale_udp_received_bytes", func() float64 { return n.control.udpCounter(receivedBytes) })
+	for _, reason := range rollout.ReadReasons() {
+		n.metrics.RegisterGauge(fmt.Sprintf("siskinvale_bundle_reads{reason=%q}", reason), func() float64 {
+			return float64(n.control.counts.Load().rollout.ReadsByReason[reason])
+		})
+	}
 	n.control.traffic.register(n.metrics)
 	for scope, traffic := range map[string]*link.Traffic{"own": &n.pool.Own, "other": &n.pool.Other} {
 		n.metrics.RegisterGauge(fmt.Sprintf("siskinvale_link_bytes{dataCentre=%q,direction=\"sent\"}", scope), func() float64 {
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -76,6 +76,7 @@
 	reportedConflicts map[string]bool      // reported digests
 	undecodableUntil  map[string]time.Time // digests ignored until then, as decoding failed
 	lastConflictRead  time.Time
+	conflictReadDue   bool
 	stats             Stats
 }
 
@@ -114,6 +115,8 @@
 	EnvelopeFetches, PieceFetches       uint64
 	PlatformReads, PlatformPieceReads   uint64
 	PlatformWatches, FailedFetches      uint64
+	// ReadsByReason divides PlatformReads, indexed by ReadReason.
+	ReadsByReason [readReasons]uint64
 }
 
 // New returns a machine for the node self that has no bundle in force.
@@ -153,6 +156,15 @@
 // Stats returns a copy of the counters.
 func (m *Machine) Stats() Stats { return m.stats }
 
+// ReadReasons returns all reasons for which a node reads the platform.
+func ReadReasons() []ReadReason {
+	reasons := make([]ReadReason, readReasons)
+	for i := range reasons {
+		reasons[i] = ReadReason(i)
+	}
+	return reasons
+}
+
 // Step handles one event and returns the actions to perform. The returned slice
 // is valid until the next call.
 func (m *Machine) Step(now time.Time, ev Event) []Action {
--- a/internal/rollout/platform.go
+++ b/internal/rollout/platform.go
@@ -2,39 +2,92 @@
 
 import "time"
 
+// ReadReason is why a node reads the active envelope from the platform.
+type ReadReason uint8
+
+const (
+	// ReadBeforeWatch is the read of a reader that has no position to watch
+	// from, at its start or after a failed call. Failed calls are repeated
+	// after a back-off of at most Config.MaxBackoff.
+	ReadBeforeWatch ReadReason = iota
+	// ReadNoAnswers means that too few peers have answered within half of
+	// Config.StartupTimeout.
+	ReadNoAnswers
+	// ReadNoBundle means that no bundle is in force Config.ReadDelay after the
+	// start, see Config.ReadWithoutBundle.
+	ReadNoBundle
+	// ReadConflict decides which of two bundles with one version is valid, at
+	// most once per conflictReadInterval.
+	ReadConflict
+	// ReadBehind means that peers have not delivered a version that the node
+	// knows of within Config.BehindReadDelay. It does not wait for a call in
+	// flight, which may be a watch on a connection that has gone silent.
+	ReadBehind
+	// ReadFallback is the regular read of a node that is not a reader, once
+	// per Config.FallbackReadInterval.
+	ReadFallback
+	readReasons
+)
+
+var readReasonNames = [readReasons]string{"before-watch", "no-answers", "no-bundle", "conflict", "behind", "fallback"}
+
+func (r ReadReason) String() string { return readReasonNames[r] }
+
 // callPlatform starts the platform call that is due, if any. A reader reads
-// once and then watches continuously. Other nodes read at startup if too few
-// peers answer or Config.ReadWithoutBundle is set, and afterwards once per
-// FallbackReadInterval.
+// once and then watches continuously; see ReadReason for all other reads.
 func (m *Machine) callPlatform() {
 	p := &m.platform
 	if p.inFlight && !m.now.Before(p.expires) {
 		m.platformCallFailed()
 	}
-	if m.behindTooLong() {
-		// A watch in flight may wait on a connection that has gone silent.
-		m.readPlatform()
-		return
-	}
-	elapsed := m.now.Sub(m.startup.startedAt)
-	if p.inFlight || m.now.Before(p.nextCall) || elapsed < m.cfg.ReadDelay {
+	if reason, ok := m.readReason(); ok {
+		m.readPlatform(reason)
 		return
 	}
-	switch {
-	case m.reader && p.readDone && elapsed < m.cfg.MembershipWait:
-	case m.reader && p.readDone:
+	if m.mayCallPlatform() && m.reader && p.readDone && m.sinceStart() >= m.cfg.MembershipWait {
 		m.stats.PlatformWatches++
 		m.platformCallStarted()
 		m.emit(WatchPlatform{p.at})
-	case m.reader, m.startupStalled(), m.readsWithoutBundle(), !m.now.Before(p.nextFallbackRead):
-		m.readPlatform()
 	}
 }
 
+// readReason returns why the node reads the platform now. ok is false if there
+// is no reason.
+func (m *Machine) readReason() (reason ReadReason, ok bool) {
+	if m.behindTooLong() {
+		return ReadBehind, true
+	}
+	if !m.mayCallPlatform() {
+		return 0, false
+	}
+	switch {
+	case m.conflictReadDue:
+		return ReadConflict, true
+	case m.reader:
+		return ReadBeforeWatch, !m.platform.readDone
+	case m.startupStalled():
+		return ReadNoAnswers, true
+	case m.readsWithoutBundle():
+		return ReadNoBundle, true
+	case !m.now.Before(m.platform.nextFallbackRead):
+		return ReadFallback, true
+	}
+	return 0, false
+}
+
+// mayCallPlatform reports whether no call is in flight and neither a back-off
+// nor Config.ReadDelay prevents one.
+func (m *Machine) mayCallPlatform() bool {
+	p := &m.platform
+	return !p.inFlight && !m.now.Before(p.nextCall) && m.sinceStart() >= m.cfg.ReadDelay
+}
+
+func (m *Machine) sinceStart() time.Duration { return m.now.Sub(m.startup.startedAt) }
+
 // startupStalled reports whether half of StartupTimeout has passed without
 // enough answers from peers.
 func (m *Machine) startupStalled() bool {
-	return !m.startup.enoughAnswers && m.now.Sub(m.startup.startedAt) >= m.cfg.StartupTimeout/2
+	return !m.startup.enoughAnswers && m.sinceStart() >= m.cfg.StartupTimeout/2
 }
 
 // updateBehind records since when this node knows of a higher version than the
@@ -66,8 +119,10 @@
 	return m.cfg.ReadWithoutBundle && m.inForce.Version == 0 && !m.platform.readDone
 }
 
-func (m *Machine) readPlatform() {
+func (m *Machine) readPlatform(reason ReadReason) {
 	m.stats.PlatformReads++
+	m.stats.ReadsByReason[reason]++
+	m.conflictReadDue = false
 	m.platform.nextFallbackRead = m.now.Add(m.jitter(m.cfg.FallbackReadInterval))
 	m.platformCallStarted()
 	m.emit(ReadPlatform{})
@@ -147,11 +202,8 @@
 		return
 	}
 	m.lastConflictRead = m.now
-	m.platform.nextFallbackRead = m.now
-	if m.reader {
-		// The read starts when the watch in flight has ended.
-		m.platform.readDone = false
-	}
+	// The read starts when a watch in flight has ended.
+	m.conflictReadDue = true
 }
 
 // fetchBackoff returns the exponential back-off after consecutive failed
