Let any node read the configuration while no reader can

Callers of twelve nodes that the store serves got the older version for 7.03 to 7.84 s after a newer one was acknowledged: the store turned away the six readers, and nobody else read it.

Cause: readers are chosen by hash alone, a reader without success keeps its duty, and other nodes read the store once in five minutes. Metrics of the code before show reads on the six readers only.

Change: each successful call to the store confirms the bundle in force. Packets between nodes carry the age of the confirmation; a node without one for 3 s reads the store itself at random times, all nodes together ten times a second as far as no node waits longer than 3 s. This holds for refusals, silence, frozen readers and cut paths alike, since it asks only whether anyone still reads. The read of every five minutes is gone.

Measured: specs "A platform that turns nodes away" (19, 95, 232 nodes): 32 failed with the new reads switched off, none with them; calls a second while all nodes are turned away 11, 33 and 77 of 2,000.

--- a/internal/event/bundle.go
+++ b/internal/event/bundle.go
@@ -11,5 +11,6 @@
 	BundleConflict        = alarm(2006, "bundle-conflict", "two different bundles have the same version")
 	BundleOlderOnPlatform = declare(2008, "bundle-older-on-platform", logrus.WarnLevel, "the platform holds an older bundle than the one in force")
 	BundleOrderChanged    = declare(2009, "bundle-order-changed", logrus.WarnLevel, "the operator goes on from an older copy of the store; its versions are ordered above those in force before")
+	BundleUnconfirmed     = declare(2010, "bundle-unconfirmed", logrus.WarnLevel, "no node has read the bundle from the platform lately; this node reads it itself until one does")
 	BundleAwaited         = declare(2007, "bundle-awaited", logrus.InfoLevel, "no bundle is in force yet; requesting one from the platform and peers")
 )
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -68,6 +68,11 @@
 	// configuration is in force within two seconds after an outage of the
 	// store.
 	adapterRetryMax = 1200 * time.Millisecond
+	// adapterConfirmWithin is three times the duration of a watch. Together with
+	// adapterMaxUnconfirmedInterval it bounds the time after which a node that
+	// the store serves has read a configuration, whichever nodes it turns away.
+	adapterConfirmWithin          = 3 * time.Second
+	adapterMaxUnconfirmedInterval = 3 * time.Second
 	// adapterBytesPerSecond is the budget for membership packets. It is sized
 	// for the restart of all nodes, after which the records of targets must
 	// spread within a second; average use is far lower.
@@ -80,6 +85,7 @@
 		cfg.Readers, cfg.MinReaders = adapterReadersPerDataCentre, adapterMinReaders
 		cfg.ReadDelay, cfg.MaxBackoff = adapterReadDelay, adapterRetryMax
 		cfg.BehindReadDelay = adapterBehindReadDelay
+		cfg.ConfirmWithin, cfg.MaxUnconfirmedInterval = adapterConfirmWithin, adapterMaxUnconfirmedInterval
 		if n.settings.Load().Deployment.FirstStart {
 			cfg.ReadDelay = adapterFirstReadDelay
 		} else {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -169,6 +169,10 @@
 	if version := d.GetBundleVersion(); version > c.version.Load() {
 		c.stepRollout(rollout.PeerVersion{From: fleet.NodeID(d.GetFrom()), Version: version})
 	}
+	if d.BundleConfirmedMs != nil {
+		age := time.Duration(d.GetBundleConfirmedMs()) * time.Millisecond
+		c.rollout.PeerConfirmed(d.GetBundleVersion(), time.Now().Add(-age))
+	}
 	if evidence := d.GetEvidence(); evidence != nil {
 		for _, t := range d.GetTargets() {
 			// A rejected record is older than the known one.
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -50,6 +50,8 @@
 		})
 	case rollout.OlderOnPlatform:
 		c.node.log.Log(event.BundleOlderOnPlatform, event.Fields{"version": a.Version, "inForce": a.InForce, "era": a.Era})
+	case rollout.Unconfirmed:
+		c.node.log.Log(event.BundleUnconfirmed, event.Fields{"ageMs": a.Age.Milliseconds(), "version": c.statedVersion.Load()})
 	case rollout.Ready:
 		c.ready.Store(true)
 		c.node.log.Log(event.NodeReady, event.Fields{"version": c.statedVersion.Load()})
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"sync/atomic"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -81,6 +83,10 @@
 // network; the transport counts it.
 func (c *control) send(d *controlv1.Datagram, to ...string) {
 	d.StoreEra = c.node.platform.era.Load()
+	d.BundleConfirmedMs = nil
+	if at := c.rollout.ConfirmedAt(); !at.IsZero() {
+		d.BundleConfirmedMs = proto.Uint32(uint32(min(time.Since(at).Milliseconds(), math.MaxUint32)))
+	}
 	c.traffic.count(to, d)
 	_ = c.transport.SendAll(to, d)
 }
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -77,24 +77,31 @@
 	// CheckInterval is the interval, before jitter, at which the envelope in
 	// force is compared with that of a random peer.
 	CheckInterval time.Duration
-	// FallbackReadInterval is the interval, before jitter, at which a node that
-	// is not a reader reads the platform, in case no reader can reach it.
-	FallbackReadInterval time.Duration
+	// ConfirmWithin is how long a node relies on the last confirmation that its
+	// bundle is as new as the one on the platform, see Machine.PeerConfirmed. If
+	// the readers cannot read the platform, all other nodes then read it in their
+	// place. It exceeds the duration of a watch and the time in which a
+	// confirmation reaches all nodes.
+	ConfirmWithin time.Duration
+	// MaxUnconfirmedInterval is the longest interval, before jitter, between the
+	// reads of one node without a confirmation.
+	MaxUnconfirmedInterval time.Duration
 }
 
 // DefaultConfig returns the default parameters.
 func DefaultConfig() Config {
 	return Config{
-		Readers:              2,
-		ReadDelay:            300 * time.Millisecond,
-		MaxBackoff:           10 * time.Second,
-		FetchTimeout:         300 * time.Millisecond, // several unresponsive peers in a row fit into the 2 s bound of a rollout
-		AvoidAfterFailure:    2 * time.Second,
-		AvoidAfterReject:     time.Minute,
-		MembershipWait:       2 * time.Second,
-		StartupTimeout:       10 * time.Second,
-		CheckInterval:        30 * time.Second,
-		FallbackReadInterval: 5 * time.Minute,
+		Readers:                2,
+		ReadDelay:              300 * time.Millisecond,
+		MaxBackoff:             10 * time.Second,
+		FetchTimeout:           300 * time.Millisecond, // several unresponsive peers in a row fit into the 2 s bound of a rollout
+		AvoidAfterFailure:      2 * time.Second,
+		AvoidAfterReject:       time.Minute,
+		MembershipWait:         2 * time.Second,
+		StartupTimeout:         10 * time.Second,
+		CheckInterval:          30 * time.Second,
+		ConfirmWithin:          2 * platform.DefaultWatchWait,
+		MaxUnconfirmedInterval: 5 * time.Minute,
 	}
 }
 
@@ -107,7 +114,7 @@
 		{&c.ReadDelay, &d.ReadDelay}, {&c.MaxBackoff, &d.MaxBackoff},
 		{&c.FetchTimeout, &d.FetchTimeout}, {&c.AvoidAfterFailure, &d.AvoidAfterFailure}, {&c.AvoidAfterReject, &d.AvoidAfterReject},
 		{&c.MembershipWait, &d.MembershipWait}, {&c.StartupTimeout, &d.StartupTimeout}, {&c.CheckInterval, &d.CheckInterval},
-		{&c.FallbackReadInterval, &d.FallbackReadInterval},
+		{&c.ConfirmWithin, &d.ConfirmWithin}, {&c.MaxUnconfirmedInterval, &d.MaxUnconfirmedInterval},
 	} {
 		if *f.value == 0 {
 			*f.value = *f.fallback
@@ -227,6 +234,11 @@
 	Era, Version, InForce uint64
 }
 
+// Unconfirmed reports that no node has confirmed the bundle in force for Age.
+// The node reads the platform itself until one does. It is emitted once for
+// each such time.
+type Unconfirmed struct{ Age time.Duration }
+
 // Ready is emitted once, when the rollout no longer prevents the node from
 // serving callers.
 type Ready struct{}
@@ -239,6 +251,7 @@
 func (Reject) action()          {}
 func (Conflict) action()        {}
 func (OlderOnPlatform) action() {}
+func (Unconfirmed) action()     {}
 func (Ready) action()           {}
 
 // Content is the encoded form of a bundle that is or was in force, as served to
--- a/internal/rollout/cluster_test.go
+++ b/internal/rollout/cluster_test.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/fleet"
@@ -71,6 +72,12 @@
 	queue      eventQueue
 	lastSerial uint64
 	watchers   []watcher
+	watchWait  time.Duration
+	packets    *rand.Rand
+	// turnedAway holds the nodes that the platform does not serve, with the
+	// time after which their calls fail.
+	turnedAway map[*node]time.Duration
+	calls      int             // of the platform, by all nodes
 	cut        map[[2]int]bool // paths that are cut, by indexes of sender and receiver
 	outage     bool
 	// received counts the bytes that nodes received from peers and the platform.
@@ -128,6 +135,7 @@
 	c := &cluster{
 		now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 5)),
 		store: platform.NewMemory(), cut: make(map[[2]int]bool), fail: fail,
+		watchWait: platform.DefaultWatchWait, packets: rand.New(rand.NewPCG(seed, 6)), turnedAway: make(map[*node]time.Duration),
 	}
 	for i := range size {
 		c.nodes = append(c.nodes, &node{index: i, record: fleet.Node{
@@ -135,10 +143,44 @@
 	}
 	for _, n := range c.nodes {
 		c.start(n)
+		c.schedulePackets(n)
 	}
 	return c
 }
 
+// schedulePackets makes a node exchange packets with a random peer five times
+// per second, as membership does.
+func (c *cluster) schedulePackets(n *node) {
+	c.after(time.Duration(c.packets.Int64N(int64(400*time.Millisecond))), func() {
+		c.sendConfirmation(n, c.nodes[c.packets.IntN(len(c.nodes))])
+		c.sendConfirmation(c.nodes[c.packets.IntN(len(c.nodes))], n)
+		c.schedulePackets(n)
+	})
+}
+
+func (c *cluster) sendConfirmation(from, to *node) {
+	if from == to || !from.up || from.frozen || !to.up || to.frozen || c.cut[[2]int{from.index, to.index}] {
+		return
+	}
+	if at := from.machine.ConfirmedAt(); !at.IsZero() {
+		version, _ := from.machine.InForce()
+		to.machine.PeerConfirmed(version, at)
+	}
+}
+
+// turnAway makes the platform refuse the calls of a node after the given time,
+// including the watch in flight.
+func (c *cluster) turnAway(n *node, after time.Duration) {
+	c.turnedAway[n] = after
+	c.watchers = slices.DeleteFunc(c.watchers, func(w watcher) bool {
+		if w.node != n {
+			return false
+		}
+		c.push(queuedEvent{at: c.now.Add(after), to: n, process: w.process, event: rollout.PlatformRead{FromWatch: true, Err: platform.ErrUnavailable}})
+		return true
+	})
+}
+
 func (c *cluster) push(e queuedEvent) {
 	c.lastSerial++
 	e.serial = c.lastSerial
@@ -240,10 +282,21 @@
 	case rollout.Conflict:
 		n.conflicts++
 	case rollout.ReadPlatform:
+		c.calls++
+		if after, ok := c.turnedAway[n]; ok {
+			answer(2*c.delay()+after, rollout.PlatformRead{Err: platform.ErrUnavailable})
+			return
+		}
 		answer(2*c.delay(), rollout.Read(context.Background(), c.store))
 	case rollout.WatchPlatform:
-		c.watchers = append(c.watchers, watcher{n, process, a.Since, c.now.Add(platform.DefaultWatchWait)})
+		c.calls++
+		if after, ok := c.turnedAway[n]; ok {
+			answer(2*c.delay()+after, rollout.PlatformRead{FromWatch: true, Err: platform.ErrUnavailable})
+			return
+		}
+		c.watchers = append(c.watchers, watcher{n, process, a.Since, c.now.Add(c.watchWait)})
 		c.answerWatches()
+		c.after(c.watchWait, c.answerWatches)
 	case rollout.FetchEnvelope:
 		c.call(n, a.From, func(peer *node) rollout.Event {
 			content := peer.machine.Content()
--- a/internal/rollout/fetch.go
+++ b/internal/rollout/fetch.go
@@ -66,12 +66,12 @@
 		// Lagging peers and stale reads legitimately return older versions.
 		return
 	case version == m.inForce.Version && digest == m.inForce.Digest:
-		m.confirmed = m.confirmed || fromPlatform
+		m.fromPlatform = m.fromPlatform || fromPlatform
 		return
 	case version == m.inForce.Version && !fromPlatform:
 		m.conflict(from, version, m.inForce.Digest, digest)
 		return
-	case version == m.inForce.Version && m.confirmed:
+	case version == m.inForce.Version && m.fromPlatform:
 		// The platform itself returned a second envelope with the same version.
 		// It was written without the conditional update, so the first envelope
 		// is kept.
@@ -132,7 +132,7 @@
 		return
 	}
 	m.inForce = Content{Version: p.version, Digest: p.digest, Envelope: p.envelope, Pieces: p.pieces, Replaced: m.replaced()}
-	m.confirmed = p.fromPlatform
+	m.fromPlatform = p.fromPlatform
 	m.stats.Activations++
 	m.emit(Activate{Bundle: bundle, Version: p.version, Digest: p.digest})
 }
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -56,9 +57,9 @@
 	newestVersion uint64
 	newestValid   bool
 
-	inForce   Content
-	confirmed bool // the digest in force was read from the platform
-	pending   *pending
+	inForce      Content
+	fromPlatform bool // the digest in force was read from the platform
+	pending      *pending
 
 	envelopeFetch *fetch   // at most one envelope fetch at a time
 	pieceFetches  []*fetch // at most maxPieceFetches
@@ -66,8 +67,9 @@
 	failures      int // consecutive fetches without a useful answer
 	nextFetch     time.Time
 
-	startup  startup
-	platform platformState
+	startup      startup
+	platform     platformState
+	confirmation confirmation
 
 	// behindSince is the time since which a higher version than the one in force
 	// is known, or of the last read for this reason; zero if none is known.
@@ -91,16 +93,23 @@
 
 // platformState is the state of the calls to the platform.
 type platformState struct {
-	inFlight         bool
-	expires          time.Time
-	nextCall         time.Time // earliest time of the next call
-	backoff          time.Duration
-	at               platform.Position
-	readDone         bool // cleared when a reader must read again before it watches
-	nextFallbackRead time.Time
-	older            olderBundle // last one that was reported
+	inFlight  bool
+	startedAt time.Time // of the last call
+	expires   time.Time
+	nextCall  time.Time // earliest time of the next call
+	backoff   time.Duration
+	at        platform.Position
+	readDone  bool        // cleared when a reader must read again before it watches
+	older     olderBundle // last one that was reported
+	// version is that of the last envelope that the platform returned,
+	// unusableVersion if it could not be verified.
+	version uint64
 }
 
+// unusableVersion stands for the version of an envelope that cannot be
+// verified. No bundle in force confirms that it is as new as such an envelope.
+const unusableVersion = math.MaxUint64
+
 // olderBundle identifies a bundle that the platform held in an era and that is
 // older than the one in force.
 type olderBundle struct {
@@ -173,7 +182,6 @@
 	if m.startup.startedAt.IsZero() {
 		m.startup.startedAt = now
 		m.nextCheck = now.Add(m.jitter(m.cfg.CheckInterval))
-		m.platform.nextFallbackRead = now.Add(m.jitter(m.cfg.FallbackReadInterval))
 	}
 	switch e := ev.(type) {
 	case NodeChanged:
@@ -197,6 +205,7 @@
 func (m *Machine) advance() {
 	m.expireFetches()
 	m.updateBehind()
+	m.updateUnconfirmed()
 	m.callPlatform()
 	m.fetchEnvelopes()
 	m.fetchPieces()
--- a/internal/rollout/platform.go
+++ b/internal/rollout/platform.go
@@ -23,13 +23,13 @@
 	// knows of within Config.BehindReadDelay. It does not wait for a call in
 	// flight, which may be a watch on a connection that has gone silent.
 	ReadBehind
-	// ReadFallback is the regular read of a node that is not a reader, once
-	// per Config.FallbackReadInterval.
-	ReadFallback
+	// ReadUnconfirmed is the read of a node that is not a reader while no node
+	// has confirmed the bundle in force within Config.ConfirmWithin.
+	ReadUnconfirmed
 	readReasons
 )
 
-var readReasonNames = [readReasons]string{"before-watch", "no-answers", "no-bundle", "conflict", "behind", "fallback"}
+var readReasonNames = [readReasons]string{"before-watch", "no-answers", "no-bundle", "conflict", "behind", "unconfirmed"}
 
 func (r ReadReason) String() string { return readReasonNames[r] }
 
@@ -69,8 +69,8 @@
 		return ReadNoAnswers, true
 	case m.readsWithoutBundle():
 		return ReadNoBundle, true
-	case !m.now.Before(m.platform.nextFallbackRead):
-		return ReadFallback, true
+	case m.confirmation.readDue(m.now):
+		return ReadUnconfirmed, true
 	}
 	return 0, false
 }
@@ -123,13 +123,15 @@
 	m.stats.PlatformReads++
 	m.stats.ReadsByReason[reason]++
 	m.conflictReadDue = false
-	m.platform.nextFallbackRead = m.now.Add(m.jitter(m.cfg.FallbackReadInterval))
+	if !m.confirmation.nextRead.IsZero() {
+		m.confirmation.nextRead = m.now.Add(m.jitter(m.unconfirmedInterval()))
+	}
 	m.platformCallStarted()
 	m.emit(ReadPlatform{})
 }
 
 func (m *Machine) platformCallStarted() {
-	m.platform.inFlight, m.platform.expires = true, m.now.Add(platformCallTimeout)
+	m.platform.inFlight, m.platform.startedAt, m.platform.expires = true, m.now, m.now.Add(platformCallTimeout)
 }
 
 func (m *Machine) platformCallFailed() {
@@ -161,22 +163,26 @@
 		m.startup.platformRead = true
 	}
 	if len(e.Envelope) > 0 {
-		m.reportOlder(e)
+		version, digest, _, err := m.verifier.Verify(e.Envelope)
+		if p.version = version; err != nil {
+			p.version = unusableVersion
+		} else if version < m.inForce.Version {
+			m.reportOlder(olderBundle{e.At.Era, digest}, version)
+		}
 		m.considerEnvelope(Platform, e.Envelope)
 		m.addPieces(e.Pieces)
 	}
+	if m.inForce.Version >= p.version {
+		m.confirmation.confirm(p.startedAt)
+	}
 }
 
 // reportOlder reports a bundle on the platform that is older than the one in
 // force.
-func (m *Machine) reportOlder(e PlatformRead) {
-	version, digest, _, err := m.verifier.Verify(e.Envelope)
-	if err != nil || version >= m.inForce.Version {
-		return
-	}
-	if older := (olderBundle{e.At.Era, digest}); older != m.platform.older {
+func (m *Machine) reportOlder(older olderBundle, version uint64) {
+	if older != m.platform.older {
 		m.platform.older = older
-		m.emit(OlderOnPlatform{Era: e.At.Era, Version: version, InForce: m.inForce.Version})
+		m.emit(OlderOnPlatform{Era: older.era, Version: version, InForce: m.inForce.Version})
 	}
 }
 
