Withdraw what waits beside a target that begins to leave

Requests that waited for a slot when their target's leaving was acknowledged were sent to it up to 3.9 s later; the platform allows 2 s, and a target that ends on time cuts them off.

Cause: a place in the queue is a promise to send later, and Drain refused later arrivals only, however the target left.

Change: a queue that drains refuses what waits, for each of the five ways out of use, and a call between its slot and its first byte as well. The reply says that it was withdrawn; that uses up neither an attempt nor the retry budget, and the ingress lets the request wait at another target, where it keeps its place by age.

The spec "refuses at the deadline, when the caller goes away and while it drains" asked that a queued item gets a slot of a draining gate, which is the fault; it now asks for the refusal, before the slot is free. The random schedules end with or without a drain.

--- a/internal/admission/api.go
+++ b/internal/admission/api.go
@@ -31,6 +31,9 @@
 	// Expected is the usual run time of the class. The Queue uses it until the
 	// first item of the class has finished, and its own estimate afterwards.
 	Expected time.Duration
+	// Waited is how long the request has already waited at targets that withdrew
+	// their promise of a slot, see ReasonDraining. It keeps its place by age.
+	Waited time.Duration
 	// Weight is the tenant's share relative to other tenants; 0 means 1.
 	Weight int
 }
@@ -54,7 +57,8 @@
 // becomes free and its start does not count towards the rate limit.
 type Cancel struct{ ID uint64 }
 
-// Drain refuses all later arrivals. Queued and started items are not affected.
+// Drain refuses all queued items and all later arrivals. Started items are not
+// affected.
 type Drain struct{}
 
 // Tick refuses queued items whose deadline can no longer be met, and starts
@@ -102,7 +106,8 @@
 	ReasonExpired
 	// ReasonFull means that the queue holds its maximum number of items.
 	ReasonFull
-	// ReasonDraining means that the target accepts no new work.
+	// ReasonDraining means that the target starts no more work. An item that was
+	// queued at that time may wait at another target.
 	ReasonDraining
 	// ReasonCancelled means that the caller went away before the item was
 	// started.
--- a/internal/admission/backlog.go
+++ b/internal/admission/backlog.go
@@ -15,13 +15,13 @@
 // started in order of arrival, every later item would miss its objective too,
 // for as long as the load stays near the capacity.
 type backlog struct {
-	items []*entry      // in order of insertion
+	items []*entry      // longest wait first
 	work  time.Duration // sum of the expected run times
 }
 
 func (b *backlog) push(e *entry) {
 	e.backlog = b
-	b.items = append(b.items, e)
+	b.items = insertByAge(b.items, e)
 	b.work += e.expected
 }
 
@@ -55,7 +55,7 @@
 
 // updateOverdue moves queued items that miss their latency objective from the
 // lanes to the overdue backlog. It refuses overdue items whose wait exceeds
-// WaitShare of the time from their arrival to their deadline.
+// WaitShare of the time from its beginning to their deadline.
 func (q *Queue) updateOverdue(now time.Time) []Action {
 	for i := range q.lanes {
 		for _, t := range q.lanes[i].tenants {
@@ -69,7 +69,7 @@
 	}
 	var actions []Action
 	for _, e := range slices.Clone(q.overdue.items) {
-		if maxWait := q.cfg.WaitShare * float64(e.Deadline.Sub(e.arrived)); !e.Deadline.IsZero() && float64(now.Sub(e.arrived)) > maxWait {
+		if maxWait := q.cfg.WaitShare * float64(e.Deadline.Sub(e.waitsSince)); !e.Deadline.IsZero() && float64(now.Sub(e.waitsSince)) > maxWait {
 			q.removeQueued(e)
 			actions = append(actions, Refuse{ID: e.ID, Reason: ReasonOverdue})
 		}
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -186,7 +186,8 @@
 	}
 }
 
-// Drain refuses all later arrivals. Queued and started items are not affected.
+// Drain refuses all queued items and all later arrivals. Started items are not
+// affected.
 func (g *Gate) Drain() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -194,6 +195,13 @@
 	g.step(Drain{})
 }
 
+// Draining reports whether Drain was called.
+func (g *Gate) Draining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
 // Idle returns a channel that is closed once the Gate is draining and no item
 // is queued or running.
 func (g *Gate) Idle() <-chan struct{} { return g.idle }
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -36,7 +36,7 @@
 		l.tenants[e.Tenant] = t
 	}
 	t.weight = float64(max(e.Weight, 1))
-	t.items = append(t.items, e)
+	t.items = insertByAge(t.items, e)
 	t.work += e.expected
 	l.count++
 	l.work += e.expected
@@ -83,7 +83,7 @@
 func (l *lane) popNext(now time.Time, q *Queue) *entry {
 	var next *tenant
 	for _, t := range l.tenants {
-		if next == nil || t.virtual < next.virtual || t.virtual == next.virtual && t.items[0].seq < next.items[0].seq {
+		if next == nil || t.virtual < next.virtual || t.virtual == next.virtual && t.items[0].before(next.items[0]) {
 			next = t
 		}
 	}
@@ -121,18 +121,27 @@
 	l.idleVirtual[e.Tenant] = start + cost
 }
 
+// insertByAge inserts e behind all items that have waited as long or longer.
+func insertByAge(items []*entry, e *entry) []*entry {
+	at := len(items)
+	for at > 0 && items[at-1].waitsSince.After(e.waitsSince) {
+		at--
+	}
+	return slices.Insert(items, at, e)
+}
+
 // overloaded reports whether e has waited for more than half of waitShare of
-// the time from its arrival to its deadline.
+// the time from the beginning of its wait to its deadline.
 func overloaded(now time.Time, e *entry, waitShare float64) bool {
-	total := e.Deadline.Sub(e.arrived)
-	return !e.Deadline.IsZero() && float64(now.Sub(e.arrived)) > waitShare/2*float64(total)
+	total := e.Deadline.Sub(e.waitsSince)
+	return !e.Deadline.IsZero() && float64(now.Sub(e.waitsSince)) > waitShare/2*float64(total)
 }
 
-// oldest returns the item that arrived first, without removing it.
+// oldest returns the item that has waited longest, without removing it.
 func (l *lane) oldest() *entry {
 	var oldest *entry
 	for _, t := range l.tenants {
-		if oldest == nil || t.items[0].seq < oldest.seq {
+		if oldest == nil || t.items[0].before(oldest) {
 			oldest = t.items[0]
 		}
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -127,11 +127,19 @@
 // entry is a queued or running item.
 type entry struct {
 	Item
-	arrived, started time.Time
-	running          bool
-	backlog          *backlog // nil while in a lane
-	seq              uint64
-	expected         time.Duration // expected run time as estimated at arrival
+	// waitsSince is the arrival, or earlier for an item that has already waited
+	// at another target.
+	arrived, waitsSince, started time.Time
+
+	running  bool
+	backlog  *backlog // nil while in a lane
+	seq      uint64
+	expected time.Duration // expected run time as estimated at arrival
+}
+
+// before reports whether e has waited longer than other.
+func (e *entry) before(other *entry) bool {
+	return e.waitsSince.Before(other.waitsSince) || e.waitsSince.Equal(other.waitsSince) && e.seq < other.seq
 }
 
 // runTimeEstimate is the moving average of the run times of a class.
@@ -164,6 +172,8 @@
 		q.cancel(ev.ID)
 	case Drain:
 		q.draining = true
+		actions = append(actions, q.expire(now)...)
+		actions = append(actions, q.refuseQueued(ReasonDraining, func(*entry) bool { return true })...)
 	case Tick:
 		actions = append(actions, q.expire(now)...)
 	case SetRateLimit:
@@ -283,7 +293,7 @@
 
 func (q *Queue) enqueue(now time.Time, item Item) {
 	q.lastSeq++
-	e := &entry{Item: item, arrived: now, seq: q.lastSeq, expected: q.expected(item)}
+	e := &entry{Item: item, arrived: now, waitsSince: now.Add(-item.Waited), seq: q.lastSeq, expected: q.expected(item)}
 	q.items[item.ID] = e
 	switch {
 	case item.Nested && q.cfg.Discipline != FIFO:
@@ -346,17 +356,22 @@
 
 // expire refuses queued items that are too late to start.
 func (q *Queue) expire(now time.Time) []Action {
-	var expired []*entry
+	return q.refuseQueued(ReasonExpired, func(e *entry) bool { return q.tooLateToStart(now, e) })
+}
+
+// refuseQueued refuses the queued items that are selected, in order of arrival.
+func (q *Queue) refuseQueued(reason Reason, selected func(*entry) bool) []Action {
+	var refused []*entry
 	for _, e := range q.items {
-		if !e.running && q.tooLateToStart(now, e) {
-			expired = append(expired, e)
+		if !e.running && selected(e) {
+			refused = append(refused, e)
 		}
 	}
-	slices.SortFunc(expired, func(a, b *entry) int { return cmp.Compare(a.seq, b.seq) })
+	slices.SortFunc(refused, func(a, b *entry) int { return cmp.Compare(a.seq, b.seq) })
 	var actions []Action
-	for _, e := range expired {
-		q.cancel(e.ID)
-		actions = append(actions, Refuse{ID: e.ID, Reason: ReasonExpired})
+	for _, e := range refused {
+		q.removeQueued(e)
+		actions = append(actions, Refuse{ID: e.ID, Reason: reason})
 	}
 	return actions
 }
@@ -433,11 +448,11 @@
 	return interactive.popNext(now, q)
 }
 
-// popOldest removes and returns the item that arrived first, for FIFO.
+// popOldest removes and returns the item that has waited longest, for FIFO.
 func (q *Queue) popOldest() *entry {
 	var oldest *entry
 	for i := range q.lanes {
-		if e := q.lanes[i].oldest(); e != nil && (oldest == nil || e.seq < oldest.seq) {
+		if e := q.lanes[i].oldest(); e != nil && (oldest == nil || e.before(oldest)) {
 			oldest = e
 		}
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -92,6 +92,47 @@
 		goldie.New(GinkgoTB()).Assert(GinkgoTB(), "queue", out.Bytes())
 	})
 
+	// Guards against requests that start at a target long after it has begun to
+	// leave, because they waited for a slot at that time.
+	It("refuses what is queued when it drains, in order of arrival", func() {
+		q := admission.New(admission.Config{Slots: 1})
+		nested, overdue := item(4, "b", fleet.Interactive, fleet.Short), item(5, "b", fleet.Interactive, fleet.Short)
+		nested.Nested, overdue.Objective = true, epoch.Add(ms)
+		Expect(started(q.Step(epoch, admission.Arrive{Item: item(1, "a", fleet.Interactive, fleet.Short)}))).To(HaveLen(1))
+		for _, i := range []admission.Item{item(2, "a", fleet.Interactive, fleet.Short), item(3, "a", fleet.Background, fleet.Long), nested, overdue} {
+			Expect(q.Step(epoch, admission.Arrive{Item: i})).To(BeEmpty())
+		}
+		var refused []admission.Action
+		for id := uint64(2); id <= 5; id++ {
+			refused = append(refused, admission.Refuse{ID: id, Reason: admission.ReasonDraining})
+		}
+		Expect(q.Step(epoch, admission.Drain{})).To(Equal(refused))
+		Expect(q.Load(epoch)).To(And(HaveField("InFlight", 1), HaveField("Queued", 0)))
+		Expect(q.Step(epoch, admission.Finish{ID: 1, RunTime: ms})).To(BeEmpty())
+	})
+
+	// Guards against requests that lose their place when they were withdrawn
+	// from the queue of another target.
+	It("starts an item that has waited elsewhere before those that wait for less time", func() {
+		for _, discipline := range []admission.Discipline{admission.Fair, admission.FIFO} {
+			q := admission.New(admission.Config{Slots: 1, Discipline: discipline})
+			now := epoch
+			q.Step(now, admission.Arrive{Item: item(1, "a", fleet.Interactive, fleet.Short)})
+			for id := uint64(2); id <= 3; id++ {
+				now = now.Add(100 * ms)
+				q.Step(now, admission.Arrive{Item: item(id, "a", fleet.Interactive, fleet.Short)})
+			}
+			moved := item(4, "a", fleet.Interactive, fleet.Short)
+			moved.Waited = 50 * ms
+			q.Step(now, admission.Arrive{Item: moved})
+			var order []uint64
+			for _, id := range []uint64{1, 2, 4, 3} {
+				order = append(order, started(q.Step(now, admission.Finish{ID: id, RunTime: ms}))...)
+			}
+			Expect(order).To(Equal([]uint64{2, 4, 3}))
+		}
+	})
+
 	// Checks with random schedules that the running items never exceed the slots,
 	// that long work never holds all slots, that no item is lost or decided twice,
 	// and that every queued item is eventually started or refused.
@@ -169,7 +210,14 @@
 					apply(admission.Tick{})
 				}
 			}
-			apply(admission.Drain{})
+			if rapid.Bool().Draw(t, "drain") {
+				apply(admission.Drain{})
+				for id, s := range state {
+					if s == "waiting" {
+						t.Fatalf("%d waits for a slot of a draining target", id)
+					}
+				}
+			}
 			for len(state) > 0 { // ends only when every item starts and finishes
 				before := len(state)
 				for id, s := range state {
@@ -330,7 +378,7 @@
 		Expect(refusal(err)).To(Equal(admission.ReasonCancelled))
 		Expect(err).To(MatchError(context.Canceled))
 
-		queued := make(chan error)
+		queued := make(chan error, 1)
 		go func() {
 			again, err := g.Acquire(context.Background(), item(0, "a", fleet.Interactive, fleet.Short))
 			if err == nil {
@@ -343,8 +391,11 @@
 		_, err = g.Acquire(context.Background(), item(0, "a", fleet.Interactive, fleet.Short))
 		Expect(refusal(err)).To(Equal(admission.ReasonDraining))
 		Expect(g.Idle()).NotTo(BeClosed())
+		var withdrawn error
+		Eventually(queued, "1s").Should(Receive(&withdrawn), "it need not wait for the slot to become free")
+		Expect(refusal(withdrawn)).To(Equal(admission.ReasonDraining))
+		Expect(g.Idle()).NotTo(BeClosed())
 		release()
-		Expect(<-queued).NotTo(HaveOccurred())
 		Eventually(g.Idle()).Should(BeClosed())
 	})
 })
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -81,7 +81,7 @@
 		}
 		attemptNumber, withoutBudget := s.dispatched, s.dispatched == 0 || s.retryPaid
 		if !in.cfg.UncountedRefusals {
-			attemptNumber, withoutBudget = s.sidecarAttempts, !reply.Sent
+			attemptNumber, withoutBudget = s.sidecarAttempts-s.withdrawals, !reply.Sent || reply.Withdrawn
 		}
 		decision := retry.Decision{Reason: retry.ReasonSidecarAttempts}
 		if s.sidecarAttempts < maxSidecarAttempts {
@@ -124,8 +124,13 @@
 	mayHaveRun bool
 	// waited is set when a sidecar refused the request after holding it in its
 	// queue. All later attempts are no-wait calls, so that the caller learns
-	// early that the request did not run.
+	// early that the request did not run. A request that was withdrawn from the
+	// queue of a target that is leaving may wait again.
 	waited bool
+	// withdrawals counts the attempts that ended so, and withdrawnWait is how
+	// long they took.
+	withdrawals   int
+	withdrawnWait time.Duration
 	// retryPaid is set while a retry has been withdrawn from the budget but not
 	// yet dispatched.
 	retryPaid bool
@@ -204,6 +209,7 @@
 	}
 	call.NoWait = in.cfg.UncountedRefusals && (s.sidecarAttempts <= maxNoWaitAttempts || s.waited)
 	call.Nested = req.nested
+	call.Waited = s.withdrawnWait
 	call.Final = in.cfg.UncountedRefusals && s.final(now)
 	choice, ok := picker.Pick(routing.Request{
 		Idempotent: req.class.Idempotent && !call.Final, LargeAnswer: req.class.LargeAnswer, Bytes: max(req.contentLength, 0), Expected: req.class.Expected.AsDuration(), Exclude: s.excludedTargets(call.NoWait),
@@ -236,7 +242,11 @@
 	if reply.BadStanding {
 		s.badStandingRefusals++
 	}
-	if reply.Outcome == fleet.NotRun && in.cfg.Clock().Sub(now) >= minQueuedRefusalTime {
+	switch elapsed := in.cfg.Clock().Sub(now); {
+	case reply.Withdrawn:
+		s.withdrawals++
+		s.withdrawnWait += elapsed
+	case reply.Outcome == fleet.NotRun && elapsed >= minQueuedRefusalTime:
 		s.waited = true
 	}
 	if reply.Busy {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -67,6 +67,7 @@
 	finalFlags  []bool
 	noWaitFlags []bool
 	nestedFlags []bool
+	waited      []time.Duration
 	// cancelled reports that the last call arrived with a cancelled context.
 	cancelled bool
 }
@@ -80,6 +81,7 @@
 	s.finalFlags = append(s.finalFlags, call.Final)
 	s.noWaitFlags = append(s.noWaitFlags, call.NoWait)
 	s.nestedFlags = append(s.nestedFlags, call.Nested)
+	s.waited = append(s.waited, call.Waited)
 	reply := s.replies[min(len(s.calls), len(s.replies)-1)](call)
 	s.calls = append(s.calls, fmt.Sprintf("%s %s: %s %s", call.Method, call.Path, reply.Outcome, reply.Reason))
 	return reply
@@ -123,6 +125,25 @@
 	}
 }
 
+// noFreeSlot is the reply of a sidecar to a no-wait call while its target is
+// busy.
+func noFreeSlot(c *link.Call) *link.Reply {
+	r := refused("no slot is free")(c)
+	r.Busy = true
+	return r
+}
+
+// withdrawnAfter returns the reply of a sidecar whose target begins to leave
+// after the call has waited there.
+func withdrawnAfter(wait time.Duration) func(*link.Call) *link.Reply {
+	return func(c *link.Call) *link.Reply {
+		time.Sleep(wait)
+		r := refused("not admitted: draining")(c)
+		r.Withdrawn = true
+		return r
+	}
+}
+
 // unsent returns the reply to a call that could not be sent, because there was
 // no connection.
 func unsent(reason string) func(*link.Call) *link.Reply {
@@ -206,6 +227,9 @@
 
 func key() string { return uuid.Must(uuid.NewV7()).String() }
 
+// wait is long enough for a refusal to count as one after a wait in a queue.
+const wait = 60 * time.Millisecond
+
 var _ = Describe("Ingress", func() {
 	It("sends the attempts and returns the outcomes in the golden file", func() {
 		var trace strings.Builder
@@ -293,6 +317,23 @@
 		Expect(s.remote.finalFlags).To(Equal([]bool{true}))
 	})
 
+	// Guards against requests that are refused, or that use up their attempts
+	// and the retry budget, because the targets beside which they waited leave.
+	DescribeTable("lets a request wait again after the target beside which it waited has left", func(uncounted bool, replies ...func(*link.Call) *link.Reply) {
+		s := newTestIngressWith(func(c *ingress.Config) {
+			c.UncountedRefusals = uncounted
+			c.FleetRetryBudget = ingress.FleetRetryBudget{Ratio: 0, Window: 10 * time.Second}
+		}, replies...)
+		Expect(s.send("POST", "/notes", "x").Code).To(Equal(200))
+		last := len(s.remote.calls) - 1
+		Expect(s.remote.noWaitFlags[last]).To(BeFalse())
+		Expect(s.remote.waited[0]).To(BeZero())
+		Expect(s.remote.waited[last]).To(BeNumerically(">=", wait))
+	},
+		Entry("with uncounted refusals", true, noFreeSlot, noFreeSlot, noFreeSlot, withdrawnAfter(wait), answered("ok")),
+		Entry("with counted refusals, more often than the class has attempts", false, withdrawnAfter(wait), withdrawnAfter(wait), answered("ok")),
+	)
+
 	// Guards against a budget that is charged for requests of callers, and
 	// against one that is not charged for the calls that a retried run makes
 	// again.
--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -51,6 +51,9 @@
 	// Final marks a call that cannot be retried after a failure, so that only a
 	// target in good standing should run it.
 	Final bool
+	// Waited is how long the request has waited at targets that then withdrew it
+	// from their queues, see Reply.Withdrawn.
+	Waited time.Duration
 	// RateLimit is the rate limit of the target, in requests per second, that
 	// the ingress knows from earlier replies; 0 if it knows none.
 	RateLimit float64
@@ -97,6 +100,10 @@
 	// Busy reports that the sidecar refused a no-wait call because no slot was
 	// free. A call that is not a no-wait call could still queue there.
 	Busy bool
+	// Withdrawn reports that the sidecar refused the call because its target or
+	// its node is leaving, however long the call had waited there. It may wait
+	// elsewhere.
+	Withdrawn bool
 	// PathFailed reports that the call failed between the two nodes, not at the
 	// target.
 	PathFailed bool
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -50,6 +50,7 @@
 	headerFinal        = "Siskinvale-Final"
 	headerNested       = "Siskinvale-Nested"
 	headerHost         = "Siskinvale-Host"
+	headerWaited       = "Siskinvale-Waited"
 
 	headerReason       = "Siskinvale-Reason"
 	headerMisrouted    = "Siskinvale-Misrouted"
@@ -58,6 +59,7 @@
 	headerUndispatched = "Siskinvale-Undispatched"
 	headerDispatched   = "Siskinvale-Dispatched"
 	headerBusy         = "Siskinvale-Busy"
+	headerWithdrawn    = "Siskinvale-Withdrawn"
 	headerCalls        = "Siskinvale-Calls"
 	headerBadStanding  = "Siskinvale-Bad-Standing"
 	headerNotRunUntil  = "Siskinvale-Not-Run-Until"
@@ -115,6 +117,9 @@
 	if c.Objective != 0 {
 		h.Set(headerObjective, strconv.FormatInt(c.Objective.Microseconds(), 10))
 	}
+	if c.Waited != 0 {
+		h.Set(headerWaited, strconv.FormatInt(c.Waited.Microseconds(), 10))
+	}
 	if c.Host != "" {
 		h.Set(headerHost, c.Host)
 	}
@@ -194,6 +199,13 @@
 		}
 		c.Objective = time.Duration(objective) * time.Microsecond
 	}
+	if text := h.Get(headerWaited); text != "" {
+		waited, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || waited < 0 {
+			return nil, fmt.Errorf("%s %q is not a number of microseconds", headerWaited, text)
+		}
+		c.Waited = time.Duration(waited) * time.Microsecond
+	}
 	received, err := strconv.ParseInt(h.Get(headerReceivedAt), 10, 64)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", headerReceivedAt, err)
@@ -243,6 +255,9 @@
 	if r.Busy {
 		h.Set(headerBusy, "1")
 	}
+	if r.Withdrawn {
+		h.Set(headerWithdrawn, "1")
+	}
 	if r.Leaving {
 		h.Set(HeaderLeaving, "1")
 	}
@@ -285,6 +300,7 @@
 		Dispatched:    h.Get(headerDispatched) != "",
 		BadStanding:   h.Get(headerBadStanding) != "",
 		Busy:          h.Get(headerBusy) != "",
+		Withdrawn:     h.Get(headerWithdrawn) != "",
 		Leaving:       h.Get(HeaderLeaving) != "",
 		RetryAfter:    time.Duration(retryAfterMS) * time.Millisecond,
 		CallsPerRun:   parseCalls(h.Values(headerCalls)),
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -91,7 +91,7 @@
 			}
 		}), noAuthFailures))
 		call := newCall()
-		call.Key, call.Epoch, call.RateLimit = "key", 7, 1.25
+		call.Key, call.Epoch, call.RateLimit, call.Waited = "key", 7, 1.25, 250*time.Millisecond
 		call.Header.Set("Authorization", "Basic caller")
 		call.Body, call.ContentLength = strings.NewReader("ask"), 3
 		reply := remote.Forward(context.Background(), node, fleet.Short, call)
@@ -107,6 +107,7 @@
 		Expect(got.Epoch).To(Equal(fleet.Epoch(7)))
 		Expect(got.Key).To(Equal("key"))
 		Expect(got.RateLimit).To(Equal(1.25))
+		Expect(got.Waited).To(Equal(250 * time.Millisecond))
 		Expect(got.ReceivedAt).To(BeTemporally("==", call.ReceivedAt))
 		Expect(got.Header.Get("Authorization")).To(Equal("Basic caller"))
 		Expect(got.Header).NotTo(HaveKey("X-Hop"))
--- /dev/null
+++ b/internal/sidecar/leaving_test.go
@@ -0,0 +1,76 @@
+package sidecar_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/link"
+	"siskinvale.dev/siskinvale/internal/sidecar"
+)
+
+// Guards against requests that reach a target long after it began to leave,
+// because they waited for a slot at that time.
+var _ = Describe("A target that begins to leave", func() {
+	DescribeTable("withdraws the calls that wait beside it at once", func(leave func(s *sidecar.Sidecar, addr string, answerLeaving *atomic.Bool)) {
+		var (
+			arrived atomic.Int32
+			leaving atomic.Bool
+		)
+		finish := make(chan struct{}, 4)
+		finishAll := sync.OnceFunc(func() { close(finish) })
+		addr := startTarget(func(w http.ResponseWriter, r *http.Request) {
+			arrived.Add(1)
+			w.Header().Set("Siskinvale-Request-Id", r.Header.Get("Siskinvale-Request-Id"))
+			<-finish
+			if leaving.Load() {
+				w.Header().Set("Siskinvale-Leaving", "1")
+			}
+		})
+		DeferCleanup(finishAll)
+		s := newSidecar(addr, nil)
+		replies := make(chan *link.Reply, 6)
+		for range 6 {
+			go func() {
+				call := lookup(5 * time.Second)
+				ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
+				defer cancel()
+				reply := s.Forward(ctx, call)
+				reply.Body.Close()
+				replies <- reply
+			}()
+		}
+		Eventually(func() fleet.Load { load, _ := s.Load("t1"); return load }, "2s").Should(And(HaveField("InFlight", 4), HaveField("Queued", 2)))
+		leave(s, addr, &leaving)
+		if leaving.Load() {
+			finish <- struct{}{}
+			Eventually(replies, "500ms").Should(Receive(HaveField("Outcome", fleet.Answered)))
+		}
+		for range 2 {
+			Eventually(replies, "500ms").Should(Receive(And(HaveField("Outcome", fleet.NotRun), HaveField("Withdrawn", true), HaveField("Dispatched", false))))
+		}
+		finishAll()
+		Eventually(s.InFlight, "2s").Should(BeZero())
+		Expect(arrived.Load()).To(BeEquivalentTo(4))
+	},
+		Entry("when it announces that it is draining", func(s *sidecar.Sidecar, addr string, _ *atomic.Bool) {
+			s.SetTarget(fleet.Target{ID: "t1", Service: "booking", Node: "n1", Addr: addr, Slots: 4, State: fleet.TargetDraining})
+		}),
+		Entry("when it is deregistered", func(s *sidecar.Sidecar, addr string, _ *atomic.Bool) {
+			s.SetTarget(fleet.Target{ID: "t1", Service: "booking", Node: "n1", Addr: addr, Slots: 4, State: fleet.TargetGone})
+		}),
+		Entry("when another process takes its place", func(s *sidecar.Sidecar, _ string, _ *atomic.Bool) {
+			s.SetTarget(fleet.Target{ID: "t1", Service: "booking", Node: "n1", Addr: "127.0.0.1:1", Slots: 4})
+		}),
+		Entry("when an answer says so", func(_ *sidecar.Sidecar, _ string, answerLeaving *atomic.Bool) {
+			answerLeaving.Store(true)
+		}),
+		Entry("when its node leaves", func(s *sidecar.Sidecar, _ string, _ *atomic.Bool) { s.Drain() }),
+	)
+})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -174,7 +174,8 @@
 	s.targets[t.ID] = added
 }
 
-// Drain makes the sidecar refuse all new calls. Admitted calls continue.
+// Drain makes the sidecar refuse all calls that wait for a slot and all new
+// calls. Calls that run continue.
 func (s *Sidecar) Drain() {
 	s.draining.Store(true)
 	s.mu.RLock()
@@ -229,7 +230,7 @@
 
 func (s *Sidecar) forward(ctx context.Context, call *link.Call) *link.Reply {
 	if s.draining.Load() && call.Key == "" {
-		return link.Refused(call, reasonDraining)
+		return withdrawn(call)
 	}
 	item, reason := s.admissionItem(call)
 	if reason != "" {
@@ -255,17 +256,30 @@
 // of the key chooses the least loaded of its own targets of the service.
 func (s *Sidecar) forwardKeyed(ctx context.Context, call *link.Call, item admission.Item) *link.Reply {
 	return s.operations.Do(ctx, call, func(ctx context.Context, mayDispatch func() bool) *link.Reply {
-		if s.draining.Load() {
-			return link.Refused(call, reasonDraining)
+		for {
+			if s.draining.Load() {
+				return withdrawn(call)
+			}
+			t := s.leastLoaded(call.Service)
+			if t == nil {
+				return link.Refused(call, reasonNoTarget)
+			}
+			// Another target beside this node takes the call if this one starts to
+			// leave; leastLoaded does not return it again.
+			if reply := t.admit(ctx, call, item, mayDispatch); !reply.Withdrawn {
+				return reply
+			}
 		}
-		t := s.leastLoaded(call.Service)
-		if t == nil {
-			return link.Refused(call, reasonNoTarget)
-		}
-		return t.admit(ctx, call, item, mayDispatch)
 	})
 }
 
+// withdrawn refuses a call because this node is leaving.
+func withdrawn(call *link.Call) *link.Reply {
+	reply := link.Refused(call, reasonDraining)
+	reply.Withdrawn = true
+	return reply
+}
+
 func (s *Sidecar) target(id fleet.TargetID) *target {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -279,7 +293,7 @@
 	var bestLoad int
 	for _, t := range s.targets {
 		record := t.record()
-		if record.Service != service || record.State != fleet.TargetServing {
+		if record.Service != service || record.State != fleet.TargetServing || t.gate.Draining() {
 			continue
 		}
 		load := t.gate.Load()
@@ -308,7 +322,7 @@
 		item := admission.Item{
 			Class: call.Class, Tenant: call.Tenant, Priority: params.Priority, Length: params.Length,
 			Deadline: s.clock().Add(call.Timeout), Expected: params.Expected, Weight: 1,
-			Nested: call.Nested,
+			Nested: call.Nested, Waited: call.Waited,
 		}
 		if call.Objective > 0 {
 			item.Objective = s.clock().Add(call.Objective)
@@ -334,6 +348,7 @@
 		Deadline: s.clock().Add(call.Timeout),
 		Expected: class.Expected.AsDuration(),
 		Weight:   b.Limit(call.Tenant).Weight,
+		Waited:   call.Waited,
 	}
 }
 
@@ -344,6 +359,7 @@
 	if errors.As(err, &refused) {
 		reply.Reason = "not admitted: " + refused.Reason.String()
 		reply.RetryAfter = refused.RetryAfter
+		reply.Withdrawn = refused.Reason == admission.ReasonDraining
 	}
 	reply.Load = load
 	return reply
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -143,6 +143,14 @@
 		release()
 		return t.refuseBadStanding(call)
 	}
+	if t.gate.Draining() {
+		// The target began to leave after the call got its slot.
+		release()
+		reply := refusedReply(call, &admission.RefusedError{Reason: admission.ReasonDraining}, t.load())
+		reply.Leaving = t.saidLeaving.Load()
+		t.logRefused(call, reply)
+		return reply
+	}
 	reply := t.run(ctx, call, item, mayDispatch, release)
 	reply.Load, reply.Leaving = t.load(), t.saidLeaving.Load()
 	return reply
