Answer all requests before a planned stop ends

Requests that a stopping node had taken, and that waited for a slot beside another node, lost their connections 5.5 s after SIGTERM, without an answer and without having run.

Cause: nothing ended their wait. The stop waited for requests in flight until the drain timeout and then closed the connections; the sidecar where they waited knew nothing of the stop, and only it can prove that a call has not started.

Change: the ingress learns of its end at SIGTERM. When the rest is too short for a request to run (one and a half times its expected run time, and 500 ms for the answer), calls that wait elsewhere are withdrawn by a message between nodes, repeated until the reply comes; no attempt starts, and the read of a body ends. The answer is 503, with proof. What still waits while the listeners close is told that its outcome is unknown.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"siskinvale.dev/siskinvale/internal/bundle"
 	"siskinvale.dev/siskinvale/internal/event"
 	"siskinvale.dev/siskinvale/internal/fleet"
 	"siskinvale.dev/siskinvale/internal/link"
@@ -53,6 +54,8 @@
 	refusalsBeforeForcedCall = 4
 )
 
+const reasonEnding = "the node ends before the request could be answered"
+
 // sendWithRetries sends the request until it is answered or may not be sent
 // again. The returned reply states what is known about the request as a whole.
 func (in *Ingress) sendWithRetries(ctx context.Context, req *request) *link.Reply {
@@ -201,6 +204,9 @@
 	if ctx.Err() != nil {
 		return link.Refused(req.call(now), "the caller has gone or its time is over")
 	}
+	if in.tooLateToStart(req.class) {
+		return link.Refused(req.call(now), reasonEnding)
+	}
 	view := in.view.Load()
 	call := req.call(now)
 	picker, ok := view.Pickers[req.service]
@@ -230,7 +236,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(attemptTimeout(req, choice, s.dispatched+1, call.Timeout), cancel)
 	endpoint.Begin()
-	reply := in.deliver(ctx, view, target.Node, req.class.Length, call)
+	reply := in.deliver(ctx, view, target.Node, req.class, call)
 	timer.Stop()
 	reply = in.prefetch(call, reply)
 	reply.Target = target.ID
@@ -298,6 +304,10 @@
 func (in *Ingress) sendKeyed(ctx context.Context, req *request) *link.Reply {
 	var reply *link.Reply
 	for range maxOwnerLookups {
+		if in.tooLateToStart(req.class) {
+			reply = link.Refused(req.call(in.cfg.Clock()), reasonEnding)
+			break
+		}
 		reply = in.sendKeyedAttempt(ctx, req)
 		if reply.Undispatched {
 			// The new owner of a lost VM's range does not know what the lost VM
@@ -337,7 +347,7 @@
 		return link.Refused(call, "the key's range has no owner")
 	}
 	call.Epoch = epoch
-	reply := in.prefetch(call, in.deliver(ctx, view, owner, req.class.Length, call))
+	reply := in.prefetch(call, in.deliver(ctx, view, owner, req.class, call))
 	if reply.Misrouted {
 		in.cfg.Owners.Refresh(req.service, epoch)
 	}
@@ -346,7 +356,7 @@
 
 // deliver passes the call to the sidecar of the given node, which may be the
 // sidecar in this process.
-func (in *Ingress) deliver(ctx context.Context, view *View, node fleet.NodeID, length fleet.Length, call *link.Call) *link.Reply {
+func (in *Ingress) deliver(ctx context.Context, view *View, node fleet.NodeID, class *bundle.Class, call *link.Call) *link.Reply {
 	if node == in.cfg.Self {
 		reply := in.cfg.Local.Forward(ctx, call)
 		reply.Sent = true
@@ -356,7 +366,10 @@
 	if !ok || peer.State == fleet.NodeDead {
 		return link.Refused(call, "the node beside the target is out of use")
 	}
-	return in.cfg.Remote.Forward(ctx, peer, length, call)
+	if !call.NoWait {
+		defer in.withdrawAtEnd(peer, class, call)()
+	}
+	return in.cfg.Remote.Forward(ctx, peer, class.Length, call)
 }
 
 // prefetch reads a small answer completely. A truncated answer becomes a reply
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +46,9 @@
 // Remote forwards calls to other nodes.
 type Remote interface {
 	Forward(ctx context.Context, node fleet.Node, length fleet.Length, call *link.Call) *link.Reply
+	// Withdraw asks the node to refuse a forwarded call that still waits for a
+	// slot. It has no effect on a call that has started.
+	Withdraw(ctx context.Context, node fleet.Node, length fleet.Length, attemptID string)
 }
 
 // Config holds the dependencies and settings of an Ingress.
@@ -98,6 +103,7 @@
 	// closed makes a configured FrontEnd refuse new requests because the
 	// process is about to exit.
 	closed atomic.Bool
+	ending ending
 }
 
 // Close makes the ingress refuse all requests that arrive later through
@@ -109,6 +115,7 @@
 func New(cfg Config) *Ingress {
 	in := &Ingress{cfg: cfg, tenants: newTenantLimiter(), budgets: newBudgets(cfg.FleetRetryBudget, cfg.Clock), paths: newPathEvidence(),
 		firstBundle: make(chan struct{}), startWaitEnd: make(chan struct{})}
+	in.ending.init()
 	time.AfterFunc(cfg.StartWait, func() { close(in.startWaitEnd) })
 	in.view.Store(&View{})
 	in.protocol = nativeProtocol{in}
@@ -175,9 +182,9 @@
 func (in *Ingress) serve(w http.ResponseWriter, r *http.Request, req *request) fleet.Outcome {
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
+	defer context.AfterFunc(in.ending.cutOff, cancel)()
 	setDeadlines(w, r, req.deadline)
-	if err := req.readBody(r); err != nil {
-		problem := bodyProblem(req, err)
+	if problem := in.receiveBody(w, r, req); problem != nil {
 		in.refuse(w, req, problem)
 		return problem.outcome
 	}
@@ -196,6 +203,26 @@
 	return fleet.Answered
 }
 
+// receiveBody reads the body of a request, see request.readBody.
+func (in *Ingress) receiveBody(w http.ResponseWriter, r *http.Request, req *request) *problem {
+	if r.ContentLength == 0 || r.Body == nil {
+		return nil
+	}
+	stop := in.stopReadingAtEnd(w, req.class)
+	defer stop()
+	err := req.readBody(r)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded) && in.tooLateToStart(req.class):
+		problem := req.problemBeforeAttempt(http.StatusServiceUnavailable, "the node ends before the body has arrived")
+		problem.closeConnection = true
+		return problem
+	default:
+		return bodyProblem(req, err)
+	}
+}
+
 // refuse responds to a request that got no answer from a target, and logs the
 // reason.
 func (in *Ingress) refuse(w http.ResponseWriter, req *request, p *problem) {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -87,6 +87,57 @@
 	return reply
 }
 
+func (s *scriptedRemote) Withdraw(context.Context, fleet.Node, fleet.Length, string) {}
+
+// queueingRemote holds each call in a queue until it is withdrawn. Withdrawals
+// before the call has arrived are lost.
+type queueingRemote struct {
+	mu      sync.Mutex
+	waiting map[string]chan struct{}
+	calls   int
+}
+
+func (q *queueingRemote) Forward(ctx context.Context, _ fleet.Node, _ fleet.Length, call *link.Call) *link.Reply {
+	withdrawn := make(chan struct{})
+	q.mu.Lock()
+	q.calls++
+	q.waiting[call.AttemptID] = withdrawn
+	q.mu.Unlock()
+	select {
+	case <-withdrawn:
+		return refused("not admitted: cancelled")(call)
+	case <-ctx.Done():
+		return link.MayHaveRun(call, "the call was cancelled")
+	}
+}
+
+func (q *queueingRemote) Withdraw(_ context.Context, _ fleet.Node, _ fleet.Length, attemptID string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if withdrawn, ok := q.waiting[attemptID]; ok {
+		close(withdrawn)
+		delete(q.waiting, attemptID)
+	}
+}
+
+// lateRemote loses the first withdrawals.
+type lateRemote struct {
+	*queueingRemote
+	lost int
+}
+
+func (l *lateRemote) Withdraw(ctx context.Context, node fleet.Node, length fleet.Length, attemptID string) {
+	if l.lost--; l.lost < 0 {
+		l.queueingRemote.Withdraw(ctx, node, length, attemptID)
+	}
+}
+
+func (q *queueingRemote) queued() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting)
+}
+
 type fakeOwners struct{ refreshed int }
 
 func (o *fakeOwners) Locate(_, _, _ string) (fleet.NodeID, fleet.Epoch, bool) { return "n1", 3, true }
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -30,7 +30,8 @@
 
 // Headers between nodes. They carry the fields of Call and Reply.
 const (
-	ForwardPath = "/forward"
+	ForwardPath  = "/forward"
+	WithdrawPath = "/withdraw"
 
 	prefixFleet        = "Siskinvale-"
 	headerAttemptID    = "Siskinvale-Attempt-Id"
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -76,6 +76,13 @@
 		DeferCleanup(remote.Pool.Close)
 	})
 
+	It("carries withdrawals", func() {
+		withdrawn := make(chan string, 1)
+		node := startPeer(link.NewWithdrawHandler(newKeys(), func(attemptID string) { withdrawn <- attemptID }, noAuthFailures))
+		remote.Withdraw(context.Background(), node, fleet.Short, "a1")
+		Expect(withdrawn).To(Receive(Equal("a1")))
+	})
+
 	It("carries every field of a call and of its reply", func() {
 		var got *link.Call
 		var body []byte
--- a/internal/link/remote.go
+++ b/internal/link/remote.go
@@ -18,6 +18,9 @@
 // refused, and traffic between data centres is paid for.
 const maxImmediateBody = 1 << 10
 
+// withdrawTimeout bounds one withdrawal.
+const withdrawTimeout = 500 * time.Millisecond
+
 // Remote forwards calls to other nodes over the connections of Pool.
 type Remote struct {
 	Self fleet.NodeID
@@ -61,6 +64,26 @@
 	return reply
 }
 
+// Withdraw asks node to refuse a forwarded call that still waits for a slot. The
+// reply to the call tells whether it had an effect.
+func (r *Remote) Withdraw(ctx context.Context, node fleet.Node, length fleet.Length, attemptID string) {
+	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.PeerAddr+WithdrawPath, nil)
+	if err != nil {
+		return
+	}
+	req.Header.Set(headerAttemptID, attemptID)
+	if err := r.Keys.Sign(req.Header, string(r.Self), time.Now()); err != nil {
+		return
+	}
+	resp, err := r.Pool.Client(node, length).Do(req)
+	if err != nil {
+		return // the caller repeats the withdrawal
+	}
+	resp.Body.Close()
+}
+
 func (r *Remote) newRequest(ctx context.Context, node fleet.Node, call *Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.PeerAddr+ForwardPath, call.Body)
 	if err != nil {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -36,6 +36,21 @@
 	})
 }
 
+// NewWithdrawHandler returns a handler that serves withdrawals of forwarded
+// calls from other nodes. onAuthFailure is called for each request without
+// valid credentials.
+func NewWithdrawHandler(keys *auth.Keys, withdraw func(attemptID string), onAuthFailure func(remote string, err error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := keys.Verify(r.Header, time.Now()); err != nil {
+			onAuthFailure(r.RemoteAddr, err)
+			http.Error(w, "not authenticated", http.StatusUnauthorized)
+			return
+		}
+		withdraw(r.Header.Get(headerAttemptID))
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
 func writeReply(w http.ResponseWriter, reply *Reply) {
 	reply.writeHeader(w.Header())
 	if reply.Outcome != fleet.Answered {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -30,7 +30,7 @@
 	n.control.runAndWait(n.control.leave)
 	n.sidecar.Drain()
 
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Load().Drain.Timeout)
+	ctx, cancel := n.announceEnd(n.settings.Load().Drain.Timeout)
 	defer cancel()
 	handedOver := make(chan struct{})
 	go func() {
@@ -60,7 +60,7 @@
 	n.leaving.Store(true)
 	n.log.Log(event.NodeLeaving, event.Fields{"inFlight": n.ingress.InFlight() + n.sidecar.InFlight()})
 	drain := n.settings.Load().Drain
-	ctx, cancel := context.WithTimeout(context.Background(), max(drain.Timeout-stopMargin, stopMargin))
+	ctx, cancel := n.announceEnd(max(drain.Timeout-stopMargin, stopMargin))
 	defer cancel()
 	n.control.runAndWait(n.control.leave)
 	n.sidecar.Drain()
@@ -76,6 +76,14 @@
 	}
 }
 
+// announceEnd tells the ingress that requests in flight must end within the
+// timeout, and returns a context that ends then.
+func (n *Node) announceEnd(timeout time.Duration) (context.Context, context.CancelFunc) {
+	end := time.Now().Add(timeout)
+	n.ingress.EndBy(end)
+	return context.WithDeadline(context.Background(), end)
+}
+
 // waitIdle returns when no request is in flight or ctx has ended.
 func (n *Node) waitIdle(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -176,7 +176,11 @@
 	if n.adapter != nil {
 		wait = stopMargin / 2
 	}
+	// Handlers that still wait get time to answer before their connections
+	// close.
+	cutOff := time.AfterFunc(wait/2, n.ingress.CutOff)
 	servers.shutdown(wait)
+	cutOff.Stop()
 	stop()
 	err = group.Wait()
 	n.pool.Close()
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -137,6 +137,7 @@
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(link.ForwardPath, link.NewHandler(n.peerKeys, n.sidecar, n.authRefused))
+	mux.Handle(link.WithdrawPath, link.NewWithdrawHandler(n.peerKeys, n.sidecar.Withdraw, n.authRefused))
 	path, handler := controlv1connect.NewPeerServiceHandler(&peerService{node: n}, connect.WithReadMaxBytes(maxControlMessage))
 	mux.Handle(path, n.authenticated(n.peerKeys, handler))
 	return mux
--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -74,3 +74,46 @@
 		Entry("when its node leaves", func(s *sidecar.Sidecar, _ string, _ *atomic.Bool) { s.Drain() }),
 	)
 })
+
+// Guards against a refusal as not run while the call still waits at a sidecar
+// and runs later, and against a withdrawal that ends a call that runs.
+var _ = Describe("A withdrawn call", func() {
+	It("is refused as not run if it waits, and goes on if it runs", func() {
+		var arrived atomic.Int32
+		finish := make(chan struct{})
+		addr := startTarget(func(w http.ResponseWriter, r *http.Request) {
+			arrived.Add(1)
+			w.Header().Set("Siskinvale-Request-Id", r.Header.Get("Siskinvale-Request-Id"))
+			<-finish
+		})
+		finishAll := sync.OnceFunc(func() { close(finish) })
+		DeferCleanup(finishAll)
+		s := newSidecar(addr, nil)
+		replies := make(chan *link.Reply, 5)
+		forward := func(attemptID string) {
+			call := lookup(5 * time.Second)
+			call.AttemptID = attemptID
+			ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
+			defer cancel()
+			reply := s.Forward(ctx, call)
+			reply.Body.Close()
+			replies <- reply
+		}
+		for range 4 {
+			go forward("running")
+		}
+		Eventually(func() fleet.Load { load, _ := s.Load("t1"); return load }, "2s").Should(HaveField("InFlight", 4))
+		go forward("waiting")
+		Eventually(func() fleet.Load { load, _ := s.Load("t1"); return load }, "2s").Should(HaveField("Queued", 1))
+		s.Withdraw("running")
+		s.Withdraw("unknown")
+		Consistently(replies, "100ms").ShouldNot(Receive())
+		s.Withdraw("waiting")
+		Eventually(replies, "500ms").Should(Receive(And(HaveField("AttemptID", "waiting"), HaveField("Outcome", fleet.NotRun), HaveField("Dispatched", false))))
+		finishAll()
+		for range 4 {
+			Eventually(replies, "2s").Should(Receive(HaveField("Outcome", fleet.Answered)))
+		}
+		Expect(arrived.Load()).To(BeEquivalentTo(4))
+	})
+})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -65,6 +65,8 @@
 	// nil if nobody needs to know.
 	leaving func(fleet.Target)
 
+	waits waits
+
 	mu      sync.RWMutex
 	targets map[fleet.TargetID]*target
 }
@@ -164,7 +166,7 @@
 		old.gate.Drain()
 	}
 	added := newTarget(t, s.clock, s.dialect, s.log)
-	added.trackRun = s.trackRun
+	added.trackRun, added.beginWait = s.trackRun, s.waits.begin
 	added.standingChanged = func() { s.standingChanged.Store(true) }
 	added.leaving = func(t fleet.Target) {
 		if s.leaving != nil {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -67,6 +67,8 @@
 	leaving func(fleet.Target)
 	// trackRun counts a call as running until untrack is called.
 	trackRun func(*link.Call) (untrack func())
+	// beginWait makes the wait of a call for a slot end when it is withdrawn.
+	beginWait func(ctx context.Context, attemptID string) (waitCtx context.Context, end func())
 	// loggedTrusted is whether the target was in good standing at the last
 	// logged change.
 	loggedTrusted bool
@@ -171,7 +173,9 @@
 // waiting.
 func (t *target) acquireSlot(ctx context.Context, call *link.Call, item admission.Item) (release func(), err error) {
 	if !call.NoWait {
-		return t.gate.Acquire(ctx, item)
+		waitCtx, end := t.beginWait(ctx, call.AttemptID)
+		defer end()
+		return t.gate.Acquire(waitCtx, item)
 	}
 	release, ok := t.gate.TryAcquire(item)
 	if !ok {
