Decode the entries of the store's lists one at a time

Reported by other operators: one odd entry of another writer made the readers of a list stop following it. It does here: an entry nested 20,000 deep makes each list and watch of its kind fail, and a name that is a number or a revision of 23 digits each watch, again and again from one position. New configurations do not come into force, and nodes that start find nothing.

Cause: encoding/json refused the whole answer for one element.

Records of nodes without an address that can be sent to are refused.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/event"
@@ -217,7 +218,7 @@
 	var found []fleet.Node
 	for _, o := range objects {
 		var r nodeRecord
-		if err := json.Unmarshal(o.Value, &r); err != nil || r.Node == "" || r.PeerAddr == "" {
+		if err := json.Unmarshal(o.Value, &r); err != nil || r.Node == "" || !validPeerAddr(r.PeerAddr) {
 			d.node.log.Log(event.NodeRecordRefused, event.Fields{"key": o.Key})
 			continue
 		}
@@ -233,6 +234,13 @@
 	return len(found), nil
 }
 
+// validPeerAddr reports whether a record of another writer has an address to
+// which a node can send packets.
+func validPeerAddr(s string) bool {
+	addr, err := netip.ParseAddrPort(s)
+	return err == nil && addr.Port() != 0 && !addr.Addr().IsUnspecified() && !addr.Addr().IsMulticast()
+}
+
 func (d *discovery) register(ctx context.Context) error {
 	self := d.node.self
 	value, err := json.Marshal(nodeRecord{
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -188,7 +188,9 @@
 		}
 		objects = append(objects, page.Objects...)
 		c.malformed.Add(uint64(page.Malformed))
-		if page.NextAfter == "" {
+		// A page that does not get further ends the list as well: the names of its
+		// objects cannot be read.
+		if page.NextAfter <= after {
 			return objects, Position{era, page.Revision}, nil
 		}
 		after = page.NextAfter
@@ -212,11 +214,12 @@
 	if err != nil {
 		return nil, Position{}, err
 	}
-	objects, revision, err := c.protocol.DecodeChanges(prefix, body)
+	page, err := c.protocol.DecodeChanges(prefix, body)
 	if err != nil {
 		return nil, Position{}, c.countResult(fmt.Errorf("%w: %w", ErrUnavailable, err))
 	}
-	return objects, Position{c.protocol.Era(header), max(revision, since.Revision)}, nil
+	c.malformed.Add(uint64(page.Malformed))
+	return page.Objects, Position{c.protocol.Era(header), max(page.Revision, since.Revision)}, nil
 }
 
 // do sends one request within the budget and reads its whole answer of at most
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -24,8 +24,10 @@
 	// DecodeObject decodes the answer to Get or Put. The answer to Put may omit
 	// the value.
 	DecodeObject(key string, header http.Header, body []byte) (Object, error)
+	// DecodePage decodes the answer to List, and DecodeChanges that to Watch.
+	// Objects that cannot be decoded are left out and counted.
 	DecodePage(prefix string, body []byte) (Page, error)
-	DecodeChanges(prefix string, body []byte) (objects []Object, revision uint64, err error)
+	DecodeChanges(prefix string, body []byte) (Page, error)
 	// Era returns the era of the store that an answer states, see ParseEra.
 	Era(header http.Header) uint64
 	// StatusError returns the error for a status to which this variant gives a
@@ -54,12 +56,7 @@
 // one page.
 type defaultProtocol struct{}
 
-// objectList is the JSON body of the answer to a list or watch.
-type objectList struct {
-	Revision uint64         `json:"revision"`
-	Objects  []listedObject `json:"objects"`
-}
-
+// listedObject is one object of the answer to a list or watch.
 type listedObject struct {
 	Key     string `json:"key"`
 	Version uint64 `json:"version"`
@@ -104,20 +101,48 @@
 }
 
 func (p defaultProtocol) DecodePage(prefix string, body []byte) (Page, error) {
-	objects, revision, err := p.DecodeChanges(prefix, body)
-	return Page{Objects: objects, Revision: revision}, err
+	return p.DecodeChanges(prefix, body)
 }
 
-func (defaultProtocol) DecodeChanges(_ string, body []byte) ([]Object, uint64, error) {
-	var l objectList
-	if err := json.Unmarshal(body, &l); err != nil {
-		return nil, 0, fmt.Errorf("malformed list or watch answer: %w", err)
+func (defaultProtocol) DecodeChanges(_ string, body []byte) (Page, error) {
+	list, page, err := DecodeList(body, "objects", "revision")
+	if err != nil {
+		return Page{}, err
 	}
-	objects := make([]Object, 0, len(l.Objects))
-	for _, o := range l.Objects {
-		objects = append(objects, Object(o))
+	for _, raw := range list {
+		var o listedObject
+		if err := DecodeElement(raw, &o); err != nil || o.Key == "" {
+			page.Malformed++
+			continue
+		}
+		page.Objects = append(page.Objects, Object(o))
+	}
+	return page, nil
+}
+
+// DecodeList splits the answer to a list or watch into its elements, which are
+// the member elements of the answer. The page has the revision, which is the
+// member revision, and no objects.
+func DecodeList(body []byte, elements, revision string) ([]json.RawMessage, Page, error) {
+	members, err := JSONMembers(body)
+	if err != nil {
+		return nil, Page{}, fmt.Errorf("malformed list or watch answer: %w", err)
+	}
+	var page Page
+	if raw, ok := members[revision]; ok {
+		if err := json.Unmarshal(raw, &page.Revision); err != nil {
+			return nil, Page{}, fmt.Errorf("malformed revision of a list or watch answer: %w", err)
+		}
+	}
+	raw, ok := members[elements]
+	if !ok || string(raw) == "null" {
+		return nil, page, nil
+	}
+	list, err := JSONElements(raw)
+	if err != nil {
+		return nil, Page{}, fmt.Errorf("malformed list or watch answer: %w", err)
 	}
-	return objects, l.Revision, nil
+	return list, page, nil
 }
 
 // headerEra is the header of all answers with the era of the store.
