Believe a refusal on a kept connection only with the attempt ID

Reported by other operators: a target writes an earlier refusal once more on a kept connection, and callers are told that a request did not run that did. It happens here if the refusals have no attempt ID: a POST that a target had run was answered 503.

Cause: the dialect took an answer without the ID for proof if it says "not executed", has status 421 or is a failure, on any connection. Besides, a target's 408, 429 or 503 reached callers as it was, who take it for a promise, without the target's statement that the request did not run.

Change: on a connection in use again, an answer without the ID belongs to another request: the outcome is unknown and the connection ends. 408, 429 and 503 without the statement are unknown as well.

--- a/internal/sidecar/dialect.go
+++ b/internal/sidecar/dialect.go
@@ -15,8 +15,10 @@
 	// the caller's deadline.
 	Prepare(h http.Header, t fleet.Target, call *link.Call, left time.Duration)
 	// Classify determines from the header of an answer whether the target ran
-	// the request, and whether the answer belongs to it.
-	Classify(resp *http.Response, t fleet.Target, call *link.Call) AnswerKind
+	// the request, and whether the answer belongs to it. reusedConn tells that
+	// the connection has carried an earlier request, so that the answer may be a
+	// late copy of the answer to that one.
+	Classify(resp *http.Response, t fleet.Target, call *link.Call, reusedConn bool) AnswerKind
 	// Notice reads from the header of an answer what the target states about
 	// itself. A malformed rate limit is an error; the rest of the notice is valid
 	// then, too.
@@ -37,7 +39,10 @@
 	// OtherTarget: the address now belongs to another target, which did not run
 	// the request.
 	OtherTarget
-	// OtherRequest: the answer belongs to another request. The outcome of this
-	// request is unknown.
+	// OtherRequest: the answer belongs to another request, or nothing shows that
+	// it belongs to this one. The outcome of this request is unknown.
 	OtherRequest
+	// Unproven: the answer has a status that tells callers that the request did
+	// not run, but the target does not state so. The outcome is unknown.
+	Unproven
 )
--- a/internal/sidecar/standing_test.go
+++ b/internal/sidecar/standing_test.go
@@ -30,7 +30,7 @@
 	return sidecar.Notice{RateLimit: limit, Leaving: h.Get("Leaving") != ""}, err
 }
 
-func (headerDialect) Classify(resp *http.Response, _ fleet.Target, _ *link.Call) sidecar.AnswerKind {
+func (headerDialect) Classify(resp *http.Response, _ fleet.Target, _ *link.Call, _ bool) sidecar.AnswerKind {
 	switch resp.Header.Get("Answer-Kind") {
 	case "shed":
 		return sidecar.Shed
@@ -38,6 +38,8 @@
 		return sidecar.OtherRequest
 	case "timed out":
 		return sidecar.TimedOut
+	case "unproven":
+		return sidecar.Unproven
 	default:
 		return sidecar.Executed
 	}
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -26,6 +26,7 @@
 	reasonShed         = "the target did not run the request"
 	reasonOtherTarget  = "another target has the address"
 	reasonOtherRequest = "the answer belonged to another request"
+	reasonUnproven     = "the target refused without stating that the request did not run"
 )
 
 const (
@@ -298,7 +299,7 @@
 	}
 	kind := Executed
 	if t.dialect != nil {
-		kind = t.dialect.Classify(resp, *t.record(), call)
+		kind = t.dialect.Classify(resp, *t.record(), call, sent.Reused())
 		if kind == Executed || kind == TimedOut || kind == Shed {
 			t.observeNotice(resp.Header, sentAt)
 		}
@@ -362,6 +363,10 @@
 		reply := refused(reasonOtherTarget)
 		reply.Misrouted = true
 		return reply
+	case Unproven:
+		resp.Body.Close()
+		end(failed, "status "+strconv.Itoa(resp.StatusCode)+" without a statement that the request did not run")
+		return link.MayHaveRun(call, reasonUnproven)
 	case OtherRequest:
 		// Any further data on the connection cannot be matched to a request.
 		sent.CloseConn()
