Share which configurations were in force before a process started

After the store came back from an older copy, all nodes went back to the older configuration until the operator wrote the lost one again.

Cause: a process that started after the older version had been replaced had no memory of it, took the copy for a new configuration after two seconds and handed it to its peers.

--- a/internal/node/lineage.go
+++ b/internal/node/lineage.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -12,8 +14,9 @@
 	// store has lost may pass through versions that this node has skipped.
 	lineageSettle = 2 * time.Second
 	// maxSeenConfigurations is the number of configurations that are recognised
-	// as former ones.
-	maxSeenConfigurations = 256
+	// as former ones. Their hashes are exchanged with peers and take 8 bytes
+	// each.
+	maxSeenConfigurations = 64
 )
 
 // lineage orders the configurations that the store holds. Nodes follow the
@@ -32,9 +35,9 @@
 	// ordered, stated and digest belong to the configuration in force.
 	ordered, stated uint64
 	digest          string
-	// seen are the digests of configurations that are or were in force, newest
-	// last.
-	seen []string
+	// seen are the hashes of configurations that are or were in force, here or on
+	// another node, newest last.
+	seen []uint64
 	// era is the highest era in which the store was seen to hold the
 	// configuration in force or a newer one; 0 if none.
 	era       uint64
@@ -56,8 +59,8 @@
 	defer l.mu.Unlock()
 	offsetChanged = l.ordered > 0 && ordered-stated != l.offset()
 	l.ordered, l.stated, l.digest = ordered, stated, digest
-	if !slices.Contains(l.seen, digest) {
-		l.seen = append(l.seen, digest)
+	if hash := configurationHash(digest); !slices.Contains(l.seen, hash) {
+		l.seen = append(l.seen, hash)
 		l.seen = l.seen[max(0, len(l.seen)-maxSeenConfigurations):]
 	}
 	if l.candidate.digest == digest {
@@ -67,6 +70,31 @@
 	return offsetChanged
 }
 
+func configurationHash(digest string) uint64 { return xxhash.Sum64String(digest) }
+
+// former returns the hashes of the configurations that are or were in force.
+func (l *lineage) former() []uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.seen)
+}
+
+// learn adds configurations that a peer has or had in force. They count as
+// older than the own ones: a process that started later than the peer has not
+// seen them.
+func (l *lineage) learn(former []uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var unknown []uint64
+	for _, hash := range former[max(0, len(former)-maxSeenConfigurations):] {
+		if !slices.Contains(l.seen, hash) && !slices.Contains(unknown, hash) {
+			unknown = append(unknown, hash)
+		}
+	}
+	room := max(0, maxSeenConfigurations-len(l.seen))
+	l.seen = append(unknown[max(0, len(unknown)-room):], l.seen...)
+}
+
 func (l *lineage) offset() uint64 { return l.ordered - l.stated }
 
 // order returns the ordered version of a configuration that the store holds in
@@ -79,7 +107,7 @@
 		l.era, l.candidate = max(l.era, era), candidate{}
 		return stated + l.offset(), true
 	}
-	if l.era == 0 || era <= l.era || slices.Contains(l.seen, digest) {
+	if l.era == 0 || era <= l.era || slices.Contains(l.seen, configurationHash(digest)) {
 		l.candidate = candidate{}
 		return stated + l.offset(), true
 	}
--- a/internal/node/lineage_test.go
+++ b/internal/node/lineage_test.go
@@ -39,6 +39,35 @@
 		Expect(hold(15, "p", 2, 0)).To(Equal(uint64(15)))
 	})
 
+	// Guards against a process that takes an older copy of the store for a new
+	// configuration, because it started after that one had been replaced.
+	It("keeps the one in force while the store holds one that only a peer has had in force", func() {
+		late := &lineage{}
+		_, ok := late.order(12, "m", 1, now)
+		Expect(ok).To(BeTrue())
+		late.activated(12, 12, "m")
+		late.learn(l.former())
+		l = late
+		Expect(hold(9, "j", 2, time.Minute)).To(Equal(uint64(9)))
+		Expect(l.ordered).To(Equal(uint64(12)))
+		Expect(hold(10, "new", 2, 3*time.Second)).To(Equal(uint64(13)))
+	})
+
+	It("forgets the oldest configurations first, and those of peers before its own", func() {
+		late := &lineage{}
+		var many []uint64
+		for i := range uint64(3 * maxSeenConfigurations) {
+			many = append(many, i)
+		}
+		late.activated(1, 1, "own")
+		late.learn(many)
+		Expect(late.former()).To(HaveLen(maxSeenConfigurations))
+		Expect(late.former()[maxSeenConfigurations-1]).To(Equal(configurationHash("own")))
+		Expect(late.former()[maxSeenConfigurations-2]).To(Equal(many[len(many)-1]))
+		late.learn([]uint64{7, 7})
+		Expect(late.former()).To(HaveLen(maxSeenConfigurations))
+	})
+
 	// Guards against a configuration that goes back while the operator writes
 	// again what the store has lost.
 	It("keeps the one in force while the operator writes the lost ones again", func() {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -116,7 +116,8 @@
 	c := s.node.control
 	c.runAndWait(func() {
 		c.merge(req.GetNodes(), req.GetTargets())
-		resp.Nodes, resp.Targets = c.members.Records(), c.targetRecords()
+		c.node.lineage.learn(req.GetFormerBundles())
+		resp.Nodes, resp.Targets, resp.FormerBundles = c.members.Records(), c.targetRecords(), c.node.lineage.former()
 	})
 	return resp, nil
 }
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -141,7 +141,7 @@
 // startSync exchanges membership and target records with the node at addr in
 // the background.
 func (c *control) startSync(addr string) {
-	req := &controlv1.SyncRequest{Nodes: c.members.Records(), Targets: c.targetRecords()}
+	req := &controlv1.SyncRequest{Nodes: c.members.Records(), Targets: c.targetRecords(), FormerBundles: c.node.lineage.former()}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), peerFetchTimeout)
 		defer cancel()
@@ -150,6 +150,7 @@
 			c.node.log.Log(event.SyncFailed, event.Fields{"peer": addr, "error": err.Error()})
 			return // membership requests the exchange again
 		}
+		c.node.lineage.learn(resp.GetFormerBundles())
 		c.post(func() { c.merge(resp.GetNodes(), resp.GetTargets()) })
 	}()
 }
