--- a/internal/ingress/ending.go
+++ b/internal/ingress/ending.go
@@ -28,14 +28,14 @@
 // ending is the planned end of the node.
 type ending struct {
 	at atomic.Int64 // Unix nanoseconds, valid once announced is done
-	// announced ends with EndBy, and cutOff with CutOff.
-	announced, cutOff           context.Context
-	setAnnounced, setCutOffDone context.CancelFunc
+	// announced is cancelled by EndBy, and cutOff by CutOff.
+	announced, cutOff             context.Context
+	cancelAnnounced, cancelCutOff context.CancelFunc
 }
 
 func (e *ending) init() {
-	e.announced, e.setAnnounced = context.WithCancel(context.Background())
-	e.cutOff, e.setCutOffDone = context.WithCancel(context.Background())
+	e.announced, e.cancelAnnounced = context.WithCancel(context.Background())
+	e.cutOff, e.cancelCutOff = context.WithCancel(context.Background())
 }
 
 // EndBy announces that the node ends at a given time. A request that can no
@@ -44,13 +44,13 @@
 // effect.
 func (in *Ingress) EndBy(at time.Time) {
 	if in.ending.at.CompareAndSwap(0, at.UnixNano()) {
-		in.ending.setAnnounced()
+		in.ending.cancelAnnounced()
 	}
 }
 
 // CutOff ends the waits of all requests in flight, so that their callers are
 // told that the outcome is unknown before their connections close.
-func (in *Ingress) CutOff() { in.ending.setCutOffDone() }
+func (in *Ingress) CutOff() { in.ending.cancelCutOff() }
 
 // lastStart returns the latest time at which a request of the class may start.
 // ok is false if no end was announced.
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -188,9 +188,9 @@
 		}
 		objects = append(objects, page.Objects...)
 		c.malformed.Add(uint64(page.Malformed))
-		// A page that does not get further ends the list as well: the names of its
-		// objects cannot be read.
-		if page.NextAfter <= after {
+		// A page that does not get further, because the names of its objects cannot
+		// be read, ends the list as well.
+		if page.NextAfter == "" || page.NextAfter == after {
 			return objects, Position{era, page.Revision}, nil
 		}
 		after = page.NextAfter
