Identify organisations by API keys at the ingress

Cause: bundles with organisations had no effect.

Change: a bundle holds the hashes of organisations' keys, their quotas, ranks and weights. The ingress finds the organisation of a request and rejects requests without a valid key with 401; the key goes no further. Hooks for the lease on keys and for quotas are in place but not connected.

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -108,6 +108,8 @@
 	Attempts int `yaml:"attempts" jsonschema:"minimum=1,maximum=5"`
 	// MaxBody is the largest request body in bytes.
 	MaxBody int64 `yaml:"maxBody" jsonschema:"minimum=0,maximum=1073741824"`
+	// Public marks a class whose requests need no API key.
+	Public bool `yaml:"public,omitempty"`
 	// Objective is the latency objective: the time within which an answer has
 	// its full value. It is 0 when the class has no latency objective.
 	Objective Duration `yaml:"-"`
@@ -128,8 +130,11 @@
 // Tenants holds the limits of the organisations.
 type Tenants struct {
 	// Default applies to each organisation that Named does not list.
-	Default Limit        `yaml:"default"`
-	Named   []NamedLimit `yaml:"named,omitempty"`
+	Default Limit `yaml:"default"`
+	// RequireKeys makes ingresses identify organisations by their API keys and
+	// reject requests without one, except those of public classes.
+	RequireKeys bool         `yaml:"requireKeys,omitempty"`
+	Named       []NamedLimit `yaml:"named,omitempty"`
 }
 
 // Limit bounds the requests of one organisation.
@@ -141,10 +146,24 @@
 	Weight int `yaml:"weight" jsonschema:"minimum=1,maximum=1000"`
 }
 
-// NamedLimit is the limit of one organisation.
+// NamedLimit is one organisation with its limits.
 type NamedLimit struct {
 	Name  string `yaml:"name"`
 	Limit `yaml:",inline"`
+	// Keys are the hashes of the organisation's API keys.
+	Keys []KeyHash `yaml:"keys,omitempty"`
+	// Quota bounds the organisation's requests through all nodes together. It is
+	// the zero Quota if there is no such bound.
+	Quota Quota `yaml:"quota,omitempty"`
+	// Rank replaces the rank of the class for the organisation's requests; nil
+	// leaves it.
+	Rank *fleet.Rank `yaml:"rank,omitempty"`
+}
+
+// Quota bounds the requests of one organisation through all nodes together.
+type Quota struct {
+	RequestsPerSecond float64 `yaml:"requestsPerSecond" jsonschema:"exclusiveMinimum=0"`
+	Burst             float64 `yaml:"burst" jsonschema:"minimum=1"`
 }
 
 // Finding is one error in a bundle document, with its location.
@@ -185,8 +204,8 @@
 // bundle does not name the organisation. It must be called only on a bundle
 // that Parse or NewHostRouted returned, because it needs the index.
 func (b *Bundle) Limit(tenant string) Limit {
-	if limit, ok := b.index.limits[tenant]; ok {
-		return limit
+	if i, ok := b.index.organisations[tenant]; ok {
+		return b.Tenants.Named[i].Limit
 	}
 	return b.Tenants.Default
 }
--- a/internal/bundle/host.go
+++ b/internal/bundle/host.go
@@ -43,10 +43,19 @@
 
 // NewHostRouted returns a bundle whose requests are routed by host and prefix
 // alone. It is used for configurations that are not written as bundle YAML.
-func NewHostRouted(name string, version uint64, services []Service, routes []HostRoute) *Bundle {
+// An organisation without a rate limit of its own has none on a single node.
+func NewHostRouted(name string, version uint64, services []Service, routes []HostRoute, organisations []NamedLimit) *Bundle {
+	for i := range organisations {
+		if limit := &organisations[i].Limit; limit.RequestsPerSecond == 0 {
+			limit.RequestsPerSecond, limit.Burst = unlimited, unlimited
+		}
+	}
 	b := &Bundle{
 		Name: name, Version: version, Services: services, Hosts: routes,
-		Tenants: Tenants{Default: Limit{RequestsPerSecond: unlimited, Burst: unlimited, Weight: 1}},
+		Tenants: Tenants{
+			Default:     Limit{RequestsPerSecond: unlimited, Burst: unlimited, Weight: 1},
+			RequireKeys: len(organisations) > 0, Named: organisations,
+		},
 	}
 	b.index, b.hosts = newIndex(b), newHostIndex(routes)
 	return b
--- a/internal/bundle/host_test.go
+++ b/internal/bundle/host_test.go
@@ -13,7 +13,7 @@
 	}
 	b := bundle.NewHostRouted("test", 3, nil, []bundle.HostRoute{
 		route("all", "a", "/"), route("x", "a", "/x/"), route("xy", "a", "/x/y/"), route("other", "b", "/x/"),
-	})
+	}, nil)
 
 	// Guards against a request that gets the class of a route with a shorter
 	// prefix.
--- a/internal/bundle/route.go
+++ b/internal/bundle/route.go
@@ -10,7 +10,9 @@
 // index finds the route of a request without a linear search over the routes.
 type index struct {
 	services map[string]*serviceIndex
-	limits   map[string]Limit // of named tenants
+	// organisations holds positions in Tenants.Named by name.
+	organisations map[string]int32
+	keys          keyIndex
 }
 
 type serviceIndex struct {
@@ -42,11 +44,12 @@
 // emptyIndex returns an index with the named tenants of b and no services.
 func emptyIndex(b *Bundle) *index {
 	ix := &index{
-		services: make(map[string]*serviceIndex, len(b.Services)),
-		limits:   make(map[string]Limit, len(b.Tenants.Named)),
+		services:      make(map[string]*serviceIndex, len(b.Services)),
+		organisations: make(map[string]int32, len(b.Tenants.Named)),
+		keys:          newKeyIndex(b.Tenants.Named),
 	}
-	for _, t := range b.Tenants.Named {
-		ix.limits[t.Name] = t.Limit
+	for i := range b.Tenants.Named {
+		ix.organisations[b.Tenants.Named[i].Name] = int32(i)
 	}
 	return ix
 }
--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -31,6 +31,8 @@
 	switch t {
 	case reflect.TypeFor[Duration]():
 		return &jsonschema.Schema{Type: "string", Pattern: `^([0-9]+(\.[0-9]+)?(ns|us|µs|ms|s|m|h))+$`}
+	case reflect.TypeFor[KeyHash]():
+		return &jsonschema.Schema{Type: "string", Pattern: `^[0-9a-fA-F]{64}$`}
 	case reflect.TypeFor[KeyRule]():
 		return &jsonschema.Schema{Type: "string", Enum: []any{"none", "optional", "required"}}
 	case reflect.TypeFor[fleet.Priority]():
--- a/internal/bundle/validate.go
+++ b/internal/bundle/validate.go
@@ -363,6 +363,35 @@
 		}
 		seen.add(&n.Name)
 		v.checkLimit(&n.Limit)
+		v.checkQuota(&n.Quota)
+	}
+	v.checkKeys(t)
+}
+
+func (v validator) checkQuota(q *Quota) {
+	if *q == (Quota{}) {
+		return
+	}
+	if q.RequestsPerSecond <= 0 {
+		v.report(&q.RequestsPerSecond, "quota: requestsPerSecond must be above 0")
+	}
+	if q.Burst < 1 {
+		v.report(&q.Burst, "quota: burst must be at least 1, or every request would be refused")
+	}
+}
+
+// checkKeys finds keys that are given twice.
+func (v validator) checkKeys(t *Tenants) {
+	owners := make(map[KeyHash]*NamedLimit)
+	for i := range t.Named {
+		n := &t.Named[i]
+		for k := range n.Keys {
+			if owner := owners[n.Keys[k]]; owner != nil {
+				v.report(&n.Keys[k], "tenant %q has the API key %s of tenant %q", n.Name, n.Keys[k], owner.Name)
+				continue
+			}
+			owners[n.Keys[k]] = n
+		}
 	}
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,6 +39,34 @@
 	// FleetRetryBudget is the retry budget that all nodes share. If it is
 	// unset, each node has a retry budget for each class.
 	FleetRetryBudget *FleetRetryBudget `yaml:"repeats"`
+	// Organisations holds the bounds that apply to the organisations of a bundle
+	// that requires API keys.
+	Organisations Organisations `yaml:"organisations"`
+	// Hedging enables second copies of slow requests; nil disables them.
+	Hedging *Hedging `yaml:"hedging"`
+}
+
+// Organisations bounds the use of API keys and the quotas of organisations.
+type Organisations struct {
+	// RevokeWithin is the longest time for which a key works after the
+	// configuration that takes it away was accepted, also through nodes that
+	// cannot read that configuration. Zero means that nodes use the keys of the
+	// bundle in force however old it is.
+	RevokeWithin time.Duration `yaml:"revokeWithin"`
+	// QuotaWindow is the time span in which a quota must hold. In each span of
+	// this length, the quota may be exceeded by QuotaExcess (a fraction) and
+	// QuotaSlack (a number of requests). Quotas are not enforced if QuotaWindow
+	// is zero.
+	QuotaWindow time.Duration `yaml:"quotaWindow"`
+	QuotaExcess float64       `yaml:"quotaExcess"`
+	QuotaSlack  float64       `yaml:"quotaSlack"`
+}
+
+// Hedging bounds the second copies of requests that may be repeated.
+type Hedging struct {
+	// Ratio is the largest number of second copies per request of a service, from
+	// 0 to 1.
+	Ratio float64 `yaml:"ratio"`
 }
 
 // Deployment describes the VM to the platform's adapter.
@@ -179,6 +207,8 @@
 		c.checkDeployment(s.Deployment)
 	}
 	c.checkFleetRetryBudget(s.FleetRetryBudget)
+	c.checkOrganisations(s.Organisations)
+	c.checkHedging(s.Hedging)
 	c.checkLogDrainAndLimits(s)
 	if findings := c.Findings(); len(findings) > 0 {
 		return nil, findings
@@ -293,6 +323,24 @@
 	c.checkPositive("$.repeats.window", r.Window)
 }
 
+func (c *checker) checkOrganisations(o Organisations) {
+	if o.RevokeWithin < 0 {
+		c.addFinding("$.organisations.revokeWithin", "must not be negative")
+	}
+	if o.QuotaWindow < 0 {
+		c.addFinding("$.organisations.quotaWindow", "must not be negative")
+	}
+	if o.QuotaExcess < 0 || o.QuotaSlack < 0 {
+		c.addFinding("$.organisations", "quotaExcess and quotaSlack must not be negative")
+	}
+}
+
+func (c *checker) checkHedging(h *Hedging) {
+	if h != nil && (h.Ratio < 0 || h.Ratio > 1) {
+		c.addFinding("$.hedging.ratio", "%v is not between 0 and 1", h.Ratio)
+	}
+}
+
 func (c *checker) checkLogDrainAndLimits(s *Settings) {
 	if _, err := logrus.ParseLevel(s.Log.Level); err != nil {
 		c.addFinding("$.log.level", "unknown log level %q", s.Log.Level)
--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -25,5 +25,6 @@
 	RequestServed      = declare(5207, "request-served", logrus.InfoLevel, "a request was answered by a target")
 	ClassOriginLearned = declare(5208, "class-origin-learned", logrus.InfoLevel, "the node has determined whether the requests of a class are calls of local targets")
 	CallRefused        = declare(5203, "call-refused", logrus.InfoLevel, "a sidecar refused a call; the call was not run")
+	QuotaRejected      = declare(5209, "quota-rejected", logrus.InfoLevel, "a request was rejected because of its organisation's quota")
 	CallFailed         = declare(5204, "call-failed", logrus.InfoLevel, "a call failed at the target")
 )
--- a/internal/fleet/class.go
+++ b/internal/fleet/class.go
@@ -12,6 +12,9 @@
 	Interactive
 )
 
+// Rank orders requests that compete for room; 0 is the most urgent.
+type Rank uint8
+
 // Length separates requests that hold a slot for the usual time from those that
 // hold a slot many times longer.
 type Length uint8
--- a/internal/ingress/front_end.go
+++ b/internal/ingress/front_end.go
@@ -30,8 +30,12 @@
 	Class   *bundle.Class
 	// Host and Path are forwarded unchanged. Path includes the query.
 	Host, Path string
-	// Header holds the headers to forward.
+	// Header holds the headers to forward. It does not contain the caller's API
+	// key.
 	Header http.Header
+	// APIKey is the key that identifies the caller's organisation; empty if the
+	// request carries none.
+	APIKey string
 	// CallerTimeout is how long the caller waits. Zero means the deadline of
 	// the class; a longer time is reduced to that deadline.
 	CallerTimeout time.Duration
@@ -87,10 +91,11 @@
 }
 
 func (a *frontEndAdapter) classify(r *http.Request, now time.Time) (*request, *problem) {
-	c, refusal := a.Classify(r, a.in.view.Load().Bundle)
+	view := a.in.view.Load()
+	c, refusal := a.Classify(r, view.Bundle)
 	req := &request{
-		id: c.ID, service: c.Service, tenant: "none", class: c.Class, method: r.Method,
-		host: c.Host, path: c.Path, header: c.Header, received: now,
+		id: c.ID, service: c.Service, apiKey: c.APIKey, class: c.Class, method: r.Method,
+		host: c.Host, path: c.Path, header: c.Header, received: now, view: view,
 	}
 	if refusal != nil {
 		return req, &problem{status: refusal.Status, outcome: refusal.Outcome, detail: refusal.Detail, retryAfter: refusal.RetryAfter}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -31,6 +31,8 @@
 	Pickers map[string]*routing.Picker
 	Nodes   map[fleet.NodeID]fleet.Node
 	Leaving bool
+	// Version is the ordered version of Bundle, 0 without one.
+	Version uint64
 }
 
 // Owners finds the owner of a keyed operation.
@@ -75,6 +77,12 @@
 	// FleetRetryBudget is the retry budget of the whole fleet. The zero value
 	// selects a separate budget for each class on this node.
 	FleetRetryBudget FleetRetryBudget
+	// KeyLease bounds for how long the API keys of a bundle are used. It has no
+	// effect on bundles that do not require keys.
+	KeyLease KeyLease
+	// Quotas grants requests within the quotas of organisations; nil if quotas
+	// are not enforced.
+	Quotas Quotas
 	// StartWait is how long after New requests wait for the first bundle instead
 	// of being refused. Callers keep sending while a process is replaced.
 	StartWait time.Duration
@@ -163,9 +171,15 @@
 	if problem == nil && inFlight > in.cfg.InFlight {
 		problem = req.problemBeforeAttempt(http.StatusServiceUnavailable, "the node holds its largest number of requests")
 	}
+	if problem == nil {
+		problem = in.identify(req)
+	}
 	if problem == nil {
 		problem = in.checkRateLimit(req)
 	}
+	if problem == nil {
+		problem = in.checkQuota(r.Context(), req)
+	}
 	in.protocol.setCommonHeaders(w.Header(), req)
 	outcome := fleet.Answered
 	if problem != nil {
@@ -174,8 +188,11 @@
 		in.refuse(w, req, problem)
 	} else {
 		outcome = in.serve(w, r, req)
+		if outcome == fleet.NotRun {
+			in.returnQuota(req)
+		}
 	}
-	in.cfg.Metrics.ObserveRequest(req.serviceLabel(), req.classLabel(), req.tenant, outcome.String(), in.cfg.Clock().Sub(start))
+	in.cfg.Metrics.ObserveRequest(req.serviceLabel(), req.classLabel(), req.tenantLabel(), outcome.String(), in.cfg.Clock().Sub(start))
 }
 
 // serve sends a classified request to targets and writes the answer.
--- a/internal/ingress/limit.go
+++ b/internal/ingress/limit.go
@@ -82,8 +82,8 @@
 
 // checkRateLimit applies this node's rate limit of the tenant.
 func (in *Ingress) checkRateLimit(req *request) *problem {
-	limit := in.view.Load().Bundle.Limit(req.tenant)
-	ok, wait := in.tenants.allow(req.tenant, limit, req.received)
+	limit := req.view.Bundle.Limit(req.tenant)
+	ok, wait := in.tenants.allow(req.tenantLabel(), limit, req.received)
 	if ok {
 		return nil
 	}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -32,10 +33,20 @@
 type request struct {
 	id      string
 	service string
-	tenant  string
-	key     string
-	class   *bundle.Class
-	method  string
+	// tenant is the name of the caller's organisation, empty if it is not known.
+	tenant string
+	// apiKey identifies the organisation. It is a secret: it is neither forwarded
+	// nor logged.
+	apiKey string
+	// organisation is set if the request was identified by its API key, and
+	// quotaTaken if it was taken from the organisation's quota.
+	organisation *bundle.NamedLimit
+	quotaTaken   bool
+	// view is the view by which the request was classified.
+	view   *View
+	key    string
+	class  *bundle.Class
+	method string
 	// host is the Host header to forward, or empty for none.
 	host     string
 	path     string
@@ -61,6 +72,8 @@
 	return r.service
 }
 
+func (r *request) tenantLabel() string { return cmp.Or(r.tenant, "none") }
+
 func (r *request) classLabel() string {
 	if r.class == nil {
 		return "none"
@@ -89,7 +102,7 @@
 		id: newID(), service: serviceOf(r), tenant: r.Header.Get(link.HeaderTenant),
 		key: r.Header.Get(link.HeaderIdempotencyKey), method: r.Method, path: r.URL.RequestURI(),
 		header: r.Header, received: now,
-		firstAttempt: r.Header.Get(link.HeaderAttempt) == "1",
+		firstAttempt: r.Header.Get(link.HeaderAttempt) == "1", apiKey: r.Header.Get(link.HeaderAPIKey), view: view,
 	}
 	if view.Bundle == nil {
 		return req, req.problemBeforeAttempt(http.StatusServiceUnavailable, "no bundle is in force on this node yet")
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -17,6 +17,7 @@
 	HeaderTenant         = "Siskinvale-Tenant"
 	HeaderTimeout        = "Siskinvale-Timeout"
 	HeaderAttempt        = "Siskinvale-Attempt"
+	HeaderAPIKey         = "Siskinvale-Api-Key"
 	HeaderOutcome        = "Siskinvale-Outcome"
 	HeaderRequestID      = "Siskinvale-Request-Id"
 	HeaderIdempotencyKey = "Idempotency-Key"
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -35,6 +35,7 @@
 	}
 	c.viewChanged = false
 	c.node.ingress.SetView(&ingress.View{
+		Version: c.version.Load(),
 		Bundle:  c.bundle,
 		Pickers: maps.Clone(c.pickers),
 		Nodes:   maps.Clone(c.nodes),
