Let a request wait in a queue after slow refusals of no-wait calls

Cause: the ingress took a refusal that was under way for 50 ms for one after a wait in a queue, and then let the request wait nowhere. On a busy VM the refusal of a call that never waits takes 72 to 77 ms.

Change: a no-wait call that is refused because no slot is free or because of the target's standing does not count as a wait, whatever its duration.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -252,7 +252,7 @@
 	case reply.Withdrawn:
 		s.withdrawals++
 		s.withdrawnWait += elapsed
-	case reply.Outcome == fleet.NotRun && elapsed >= minQueuedRefusalTime:
+	case reply.Outcome == fleet.NotRun && elapsed >= minQueuedRefusalTime && !refusedOnArrival(call, reply):
 		s.waited = true
 	}
 	if reply.Busy {
@@ -278,6 +278,12 @@
 	return reply
 }
 
+// refusedOnArrival reports whether a sidecar refused a no-wait call without
+// holding it in a queue, however long the refusal was under way.
+func refusedOnArrival(call *link.Call, reply *link.Reply) bool {
+	return call.NoWait && (reply.Busy || reply.BadStanding)
+}
+
 // attemptTimeout returns how long an attempt may wait for the first byte of its
 // answer. Non-idempotent and streamed requests may use all the time left.
 //
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -478,6 +478,27 @@
 		Expect(s.remote.noWaitFlags[3:]).To(Equal([]bool{false}), "every target has already refused a no-wait call")
 	})
 
+	// Guards against a request that waits nowhere, and is refused although there
+	// is room in a queue, because refusals of no-wait calls were under way for
+	// longer than a refusal usually takes, as on a busy VM.
+	It("waits in a queue after slow refusals of no-wait calls", func() {
+		slow := func(reply func(*link.Call) *link.Reply) func(*link.Call) *link.Reply {
+			return func(c *link.Call) *link.Reply {
+				time.Sleep(wait)
+				return reply(c)
+			}
+		}
+		badStanding := func(c *link.Call) *link.Reply {
+			r := refused("the target failed lately")(c)
+			r.BadStanding = true
+			return r
+		}
+		s := newTestIngressWith(func(c *ingress.Config) { c.UncountedRefusals = true },
+			slow(noFreeSlot), slow(badStanding), slow(noFreeSlot), answered("ok"))
+		Expect(s.send("GET", "/kits/1", "").Code).To(Equal(200))
+		Expect(s.remote.noWaitFlags).To(Equal([]bool{true, true, true, false}))
+	})
+
 	// Guards against requests of callers that are classified as calls of
 	// targets because the local targets are always busy, as in a wave of
 	// requests after a restart.
