Compare, encode and check organisations with keys, quotas and ranks

Cause: the difference of two bundles could not name a key hash and compared ranks by their addresses.

The round trip of random bundles now has organisations with keys, quotas and ranks.

--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -14,6 +14,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/sebdah/goldie/v2"
 	"pgregory.net/rapid"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
 )
 
 func TestBundle(t *testing.T) {
@@ -152,14 +154,30 @@
 			}
 			return r
 		}, n)
-		b.Tenants.Named = append(b.Tenants.Named, NamedLimit{Name: fmt.Sprintf("%s-%d", n, len(b.Tenants.Named)), Limit: drawLimit(t)})
+		b.Tenants.Named = append(b.Tenants.Named, drawOrganisation(t, fmt.Sprintf("%s-%d", n, len(b.Tenants.Named))))
 	}
+	b.Tenants.RequireKeys = rapid.Bool().Draw(t, "require keys")
 	for _, n := range rapid.SliceOfNDistinct(name, 1, 3, rapid.ID).Draw(t, "services") {
 		b.Services = append(b.Services, drawService(t, n))
 	}
 	return b
 }
 
+func drawOrganisation(t *rapid.T, name string) NamedLimit {
+	o := NamedLimit{Name: name, Limit: drawLimit(t)}
+	for i := range rapid.IntRange(0, 2).Draw(t, "keys") {
+		o.Keys = append(o.Keys, HashKey(fmt.Sprintf("%s %d", name, i)))
+	}
+	if rapid.Bool().Draw(t, "has quota") {
+		o.Quota = Quota{RequestsPerSecond: rapid.Float64Range(0.001, 1e9).Draw(t, "quota"), Burst: rapid.Float64Range(1, 1e9).Draw(t, "quota burst")}
+	}
+	if rapid.Bool().Draw(t, "has rank") {
+		rank := fleet.Rank(rapid.Uint8().Draw(t, "rank"))
+		o.Rank = &rank
+	}
+	return o
+}
+
 func drawLimit(t *rapid.T) Limit {
 	return Limit{
 		RequestsPerSecond: rapid.Float64Range(0.001, 1e9).Draw(t, "rate"),
--- a/internal/bundle/diff.go
+++ b/internal/bundle/diff.go
@@ -94,6 +94,12 @@
 }
 
 func (f *flatBundle) add(path string, v reflect.Value) {
+	if v.Kind() == reflect.Pointer {
+		if !v.IsNil() {
+			f.add(path, v.Elem())
+		}
+		return
+	}
 	if _, ok := v.Interface().(encoding.TextMarshaler); ok || v.Kind() != reflect.Struct && v.Kind() != reflect.Slice {
 		f.set(path, fmt.Sprint(v.Interface()))
 		return
@@ -136,6 +142,8 @@
 		return entry.Method + " " + entry.Path
 	case string:
 		return entry
+	case KeyHash:
+		return entry.String()
 	default:
 		return v.FieldByName("Name").String()
 	}
