Review a bundle before it is rolled out: unreachable entries, contradictions, effects

Cause: bundle check reports errors only. An entry that can never match, a quota that no service can reach or a withdrawn key showed after the rollout.

Change: siskinvalectl bundle review reports errors, findings (package lint, with stable rule names and places) and what the new version changes for callers, for siskinvale's own bundles and for documents of the platform's store.

--- a/cmd/siskinvalectl/main.go
+++ b/cmd/siskinvalectl/main.go
@@ -10,18 +10,20 @@
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/ctl"
+	adapter "siskinvale.dev/siskinvale/platform"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := ctl.Main(ctl.Env{
-		Context:   ctx,
-		Stdout:    os.Stdout,
-		Stderr:    os.Stderr,
-		OpenStore: ctl.OpenStore,
-		HTTP:      &http.Client{},
-		Now:       time.Now,
-		Sleep:     ctl.Sleep,
+		Context:            ctx,
+		Stdout:             os.Stdout,
+		Stderr:             os.Stderr,
+		OpenStore:          ctl.OpenStore,
+		HTTP:               &http.Client{},
+		ParseConfiguration: adapter.ParseConfiguration,
+		Now:                time.Now,
+		Sleep:              ctl.Sleep,
 	}, os.Args[1:])
 	stop()
 	os.Exit(code)
--- a/internal/bundle/host.go
+++ b/internal/bundle/host.go
@@ -47,13 +47,13 @@
 func NewHostRouted(name string, version uint64, services []Service, routes []HostRoute, organisations []NamedLimit) *Bundle {
 	for i := range organisations {
 		if limit := &organisations[i].Limit; limit.RequestsPerSecond == 0 {
-			limit.RequestsPerSecond, limit.Burst = unlimited, unlimited
+			limit.RequestsPerSecond, limit.Burst = Unlimited, Unlimited
 		}
 	}
 	b := &Bundle{
 		Name: name, Version: version, Services: services, Hosts: routes,
 		Tenants: Tenants{
-			Default:     Limit{RequestsPerSecond: unlimited, Burst: unlimited, Weight: 1},
+			Default:     Limit{RequestsPerSecond: Unlimited, Burst: Unlimited, Weight: 1},
 			RequireKeys: len(organisations) > 0, Named: organisations,
 		},
 	}
@@ -61,9 +61,9 @@
 	return b
 }
 
-// unlimited is a request rate, in requests per second, and a burst, in
+// Unlimited is a request rate, in requests per second, and a burst, in
 // requests, that no organisation reaches.
-const unlimited = 1e9
+const Unlimited = 1e9
 
 // MatchHost returns the route of a host with the longest prefix of path, or
 // nil. path is the escaped path as received, without the query.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 	"github.com/jessevdk/go-flags"
 
+	"siskinvale.dev/siskinvale/internal/bundle"
 	"siskinvale.dev/siskinvale/internal/control/v1/controlv1connect"
 	"siskinvale.dev/siskinvale/internal/platform"
 )
@@ -40,7 +41,11 @@
 	OpenStore func(address, token string) (Store, error)
 	// HTTP is the client for calls to nodes.
 	HTTP *http.Client
-	Now  func() time.Time
+	// ParseConfiguration reads the configuration document of a platform that has
+	// its own format. The error lists all faults. It is nil if there is no such
+	// platform.
+	ParseConfiguration func(content []byte) (*bundle.Bundle, error)
+	Now                func() time.Time
 	// Sleep waits for d. It returns early with the context's error when the
 	// context ends.
 	Sleep func(ctx context.Context, d time.Duration) error
--- a/internal/ctl/options.go
+++ b/internal/ctl/options.go
@@ -45,6 +45,7 @@
 	}
 	if err := addGroup(p.Command, command{"bundle", "check, sign and roll out bundles", nil}, []command{
 		{"check", "report all findings of bundle files", &bundleCheck{app: a}},
+		{"review", "report entries without effect, contradictions and changes for callers", &bundleReview{app: a}},
 		{"sign", "sign a bundle as its author", &bundleSign{app: a}},
 		{"approve", "add the approver's signature", &bundleApprove{app: a}},
 		{"rollout", "put a signed bundle in force", &bundleRollout{app: a}},
