Bound the bytes that a node holds for callers

Cause: a node keeps request bodies of up to 64 KiB and answers of up to 1 MiB for callers that send or read slowly, and nothing bounded their sum. The smallest nodes of the newest deployments have 184 MB.

Change: with limits.memoryMiB in the settings, bodies take at most a quarter of it and those of one organisation an eighth. A request whose body does not fit is rejected before it is read (503, not run); an answer that does not fit is passed on at the pace of its caller. Memory is reserved before it is allocated.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -172,6 +172,9 @@
 	// MaxInFlight is the maximum number of requests that the ingress holds at a
 	// time.
 	MaxInFlight int64 `yaml:"inFlight"`
+	// MemoryMiB is the memory of the node in MiB. The node holds at most a
+	// quarter of it in bodies of requests and answers. Zero means no limit.
+	MemoryMiB int64 `yaml:"memoryMiB"`
 }
 
 // Load reads and checks a settings file. If the file cannot be read, only the
@@ -350,6 +353,9 @@
 	c.checkPositive("$.limits.idleTimeout", s.Limits.IdleTimeout)
 	c.checkPositive("$.limits.headerBytes", s.Limits.MaxHeaderBytes)
 	c.checkPositive("$.limits.inFlight", s.Limits.MaxInFlight)
+	if s.Limits.MemoryMiB < 0 {
+		c.addFinding("$.limits.memoryMiB", "must not be negative")
+	}
 }
 
 // Decode returns the decoded key. The error reports invalid base64 or a wrong
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"slices"
@@ -238,7 +237,7 @@
 	endpoint.Begin()
 	reply := in.deliver(ctx, view, target.Node, req.class, call)
 	timer.Stop()
-	reply = in.prefetch(call, reply)
+	reply = in.prefetch(req, call, reply)
 	reply.Target = target.ID
 	if reply.Leaving {
 		endpoint.SaysLeaving(target)
@@ -353,7 +352,7 @@
 		return link.Refused(call, "the key's range has no owner")
 	}
 	call.Epoch = epoch
-	reply := in.prefetch(call, in.deliver(ctx, view, owner, req.class, call))
+	reply := in.prefetch(req, call, in.deliver(ctx, view, owner, req.class, call))
 	if reply.Misrouted {
 		in.cfg.Owners.Refresh(req.service, epoch)
 	}
@@ -378,44 +377,6 @@
 	return in.cfg.Remote.Forward(ctx, peer, class.Length, call)
 }
 
-// prefetch reads a small answer completely. A truncated answer becomes a reply
-// with an unknown outcome, which is possible because nothing has been sent to
-// the caller yet.
-func (in *Ingress) prefetch(call *link.Call, reply *link.Reply) *link.Reply {
-	limit, withoutLength := int64(maxPrefetchBytes), false
-	if in.cfg.FrontEnd != nil {
-		limit, withoutLength = maxFrontEndPrefetchBytes, true
-	}
-	if reply.Outcome != fleet.Answered || reply.ContentLength > limit || reply.ContentLength < 0 && !withoutLength {
-		return reply
-	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, limit))
-	if err != nil {
-		reply.Body.Close()
-		truncated := link.MayHaveRun(call, "the answer was cut short: "+err.Error())
-		truncated.Load = reply.Load
-		return truncated
-	}
-	if int64(len(body)) == limit && reply.ContentLength < 0 {
-		reply.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), reply.Body), Closer: reply.Body}
-		return reply
-	}
-	reply.Body.Close()
-	reply.Body, reply.ContentLength = &bufferedBody{*bytes.NewReader(body)}, int64(len(body))
-	return reply
-}
-
-// bufferedBody is a complete answer body in memory.
-type bufferedBody struct{ bytes.Reader }
-
-func (*bufferedBody) Close() error { return nil }
-
-// prefixedBody is an answer body whose beginning has already been read.
-type prefixedBody struct {
-	io.Reader
-	io.Closer
-}
-
 // closeHook calls hook once, after the first Close of the body.
 type closeHook struct {
 	io.ReadCloser
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -63,6 +63,9 @@
 	Metrics  *metric.Set
 	Clock    func() time.Time
 	InFlight int64 // maximum number of requests in flight
+	// HeldBytes is the maximum number of bytes of bodies that are held for
+	// callers; 0 means that there is none.
+	HeldBytes int64
 	// FrontEnd decodes the requests of callers; nil selects siskinvale's own
 	// caller protocol.
 	FrontEnd FrontEnd
@@ -112,6 +115,7 @@
 	// process is about to exit.
 	closed atomic.Bool
 	ending ending
+	held   *heldBytes
 }
 
 // Close makes the ingress refuse all requests that arrive later through
@@ -123,6 +127,7 @@
 func New(cfg Config) *Ingress {
 	in := &Ingress{cfg: cfg, tenants: newTenantLimiter(), budgets: newBudgets(cfg.FleetRetryBudget, cfg.Clock), paths: newPathEvidence(),
 		firstBundle: make(chan struct{}), startWaitEnd: make(chan struct{})}
+	in.held = newHeldBytes(cfg.HeldBytes)
 	in.ending.init()
 	time.AfterFunc(cfg.StartWait, func() { close(in.startWaitEnd) })
 	in.view.Store(&View{})
@@ -155,6 +160,10 @@
 // View returns the current view.
 func (in *Ingress) View() *View { return in.view.Load() }
 
+// HeldBytes returns how many bytes of bodies are held for callers. It is 0
+// without a limit.
+func (in *Ingress) HeldBytes() int64 { return in.held.total() }
+
 // InFlight returns how many requests are being served.
 func (in *Ingress) InFlight() int64 { return in.inFlight.Load() }
 
@@ -201,6 +210,8 @@
 	defer cancel()
 	defer context.AfterFunc(in.ending.cutOff, cancel)()
 	setDeadlines(w, r, req.deadline)
+	req.holding = holding{held: in.held, organisation: req.organisationName()}
+	defer func() { req.holding.release() }()
 	if problem := in.receiveBody(w, r, req); problem != nil {
 		in.refuse(w, req, problem)
 		return problem.outcome
--- a/internal/ingress/problem.go
+++ b/internal/ingress/problem.go
@@ -21,6 +21,10 @@
 	typeRefused = "urn:siskinvale:problem:refused"
 )
 
+// heldBytesRetryAfter is the Retry-After of requests whose body a node cannot
+// hold. Bodies are held for about as long as a request takes.
+const heldBytesRetryAfter = 500 * time.Millisecond
+
 // problem describes why a request got no answer from a target.
 type problem struct {
 	status          int
@@ -69,6 +73,11 @@
 	if errors.Is(err, errBodyTooLarge) {
 		return r.problemBeforeAttempt(http.StatusRequestEntityTooLarge, "the body is larger than its class allows")
 	}
+	if errors.Is(err, errHeldBytes) {
+		p := r.problemBeforeAttempt(http.StatusServiceUnavailable, err.Error())
+		p.retryAfter = heldBytesRetryAfter
+		return p
+	}
 	return r.problemBeforeAttempt(http.StatusBadRequest, "the request body could not be read to its end")
 }
 
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -61,6 +61,7 @@
 	nested bool
 
 	body          []byte    // retained body
+	holding       holding   // reservation of body
 	stream        io.Reader // body that can be read only once; nil if the body is retained
 	contentLength int64
 }
@@ -72,6 +73,15 @@
 	return r.service
 }
 
+// organisationName returns the name of the organisation that was identified by
+// its API key; empty if there is none.
+func (r *request) organisationName() string {
+	if r.organisation == nil {
+		return ""
+	}
+	return r.organisation.Name
+}
+
 func (r *request) tenantLabel() string { return cmp.Or(r.tenant, "none") }
 
 func (r *request) classLabel() string {
@@ -205,6 +215,13 @@
 		r.stream, r.contentLength = limited, httpReq.ContentLength
 		return nil
 	}
+	expected := httpReq.ContentLength
+	if expected < 0 {
+		expected = retain
+	}
+	if !r.holding.grow(expected) {
+		return errHeldBytes
+	}
 	prefix, err := io.ReadAll(io.LimitReader(limited, retain+1))
 	if err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,10 @@
 	leaving      atomic.Bool
 }
 
+// heldMemoryShare is the part of a node's memory, as a divisor, that bodies held
+// for callers may take. The rest is for connections, buffers and control state.
+const heldMemoryShare = 4
+
 // New assembles a node from checked settings. It starts no goroutines and opens
 // no listeners.
 //
@@ -102,6 +106,7 @@
 	ingressConfig := ingress.Config{
 		Self: n.self.ID, Local: n.sidecar, Remote: n.remote, Owners: n.assignments,
 		Log: n.log, Metrics: n.metrics, Clock: time.Now, InFlight: s.Limits.MaxInFlight,
+		HeldBytes: s.Limits.MemoryMiB << 20 / heldMemoryShare,
 	}
 	if adapter != nil {
 		n.sidecar.SetDialect(adapter.Dialect(), n.log)
@@ -258,6 +263,7 @@
 		n.metrics.RegisterGauge("siskinvale_platform_malformed", func() float64 { return float64(counter.Counts().Malformed) })
 	}
 	n.metrics.RegisterGauge("siskinvale_ingress_in_flight", func() float64 { return float64(n.ingress.InFlight()) })
+	n.metrics.RegisterGauge("siskinvale_held_bytes", func() float64 { return float64(n.ingress.HeldBytes()) })
 	n.metrics.RegisterGauge("siskinvale_sidecar_in_flight", func() float64 { return float64(n.sidecar.InFlight()) })
 	n.metrics.RegisterGauge("siskinvale_bundle_version", func() float64 { return float64(n.control.statedVersion.Load()) })
 	n.metrics.RegisterGauge("siskinvale_answers_mismatched", func() float64 { return float64(n.remote.Mismatched.Load()) })
