Lease API keys by confirmations of the bundle in force

Nodes used the keys of the bundle in force however old it was. They now ask readers how long ago it was known to be the newest, date answers by when the query was sent on the boot clock, and read the platform themselves when nobody knows.

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -111,17 +111,19 @@
 
 // bundleSource reads bundles from the platform and watches for new ones.
 type bundleSource interface {
-	Read(ctx context.Context) rollout.Event
-	Watch(ctx context.Context, w rollout.WatchPlatform) rollout.Event
+	Read(ctx context.Context) rollout.PlatformRead
+	Watch(ctx context.Context, w rollout.WatchPlatform) rollout.PlatformRead
 }
 
 // signedSource reads signed bundles, which is the format used without an
 // adapter.
 type signedSource struct{ client platform.Client }
 
-func (s signedSource) Read(ctx context.Context) rollout.Event { return rollout.Read(ctx, s.client) }
+func (s signedSource) Read(ctx context.Context) rollout.PlatformRead {
+	return rollout.Read(ctx, s.client)
+}
 
-func (s signedSource) Watch(ctx context.Context, w rollout.WatchPlatform) rollout.Event {
+func (s signedSource) Watch(ctx context.Context, w rollout.WatchPlatform) rollout.PlatformRead {
 	return rollout.Watch(ctx, s.client, w)
 }
 
@@ -133,18 +135,18 @@
 	lineage *lineage
 }
 
-func (s adapterSource) Read(ctx context.Context) rollout.Event {
+func (s adapterSource) Read(ctx context.Context) rollout.PlatformRead {
 	return s.platformRead(s.adapter.ReadConfiguration(ctx, s.client))
 }
 
-func (s adapterSource) Watch(ctx context.Context, w rollout.WatchPlatform) rollout.Event {
+func (s adapterSource) Watch(ctx context.Context, w rollout.WatchPlatform) rollout.PlatformRead {
 	content, at, err := s.adapter.WatchConfiguration(ctx, s.client, w.Since)
 	if err == nil && s.lineage.due(time.Now()) {
 		// Watches may miss changes; only a read shows what the store holds.
 		content, at, err = s.adapter.ReadConfiguration(ctx, s.client)
 	}
 	read := s.platformRead(content, at, err)
-	read.FromWatch = true
+	read.FromWatch, read.Since = true, w.Since
 	return read
 }
 
@@ -162,6 +164,7 @@
 	}
 	manifest, pieces := bundle.NewManifest(stated, content)
 	ordered, ok := s.lineage.order(stated, manifest.Digest, at.Era, time.Now())
+	read.Undecided = !ok || !s.lineage.decided(ordered, manifest.Digest)
 	if !ok {
 		return read
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -14,6 +14,7 @@
 	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
 	"siskinvale.dev/siskinvale/internal/event"
 	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/freshness"
 	"siskinvale.dev/siskinvale/internal/health"
 	"siskinvale.dev/siskinvale/internal/loadreport"
 	"siskinvale.dev/siskinvale/internal/membership"
@@ -59,6 +60,7 @@
 	evidence *evidenceCollector
 	loads    *loadreport.Relay
 	traffic  datagramTraffic
+	keyLease keyLease
 
 	bundle      *bundle.Bundle
 	nodes       map[fleet.NodeID]fleet.Node
@@ -136,6 +138,7 @@
 		owners:        make(map[string][]fleet.NodeID),
 		staleServices: make(map[string]bool),
 	}
+	c.keyLease.init(n)
 	c.counts.Store(&counts{})
 	c.lastTick.Store(time.Now().UnixNano())
 	return c
@@ -172,6 +175,10 @@
 	if d.BundleConfirmedMs != nil {
 		age := time.Duration(d.GetBundleConfirmedMs()) * time.Millisecond
 		c.rollout.PeerConfirmed(d.GetBundleVersion(), time.Now().Add(-age))
+		c.stepKeyLease(freshness.Hint{From: fleet.NodeID(d.GetFrom()), Age: age})
+	}
+	if c.receiveConfirmation(from, d) {
+		return
 	}
 	if evidence := d.GetEvidence(); evidence != nil {
 		for _, t := range d.GetTargets() {
@@ -207,6 +214,7 @@
 			c.tick()
 		}
 		c.publish()
+		c.publishConfirmation()
 	}
 }
 
@@ -227,6 +235,7 @@
 	c.ticks++
 	c.lastTick.Store(time.Now().UnixNano())
 	c.stepMembers(membership.Tick{})
+	c.stepKeyLease(freshness.Tick{})
 	if c.ticks%healthTicks == 0 {
 		c.evaluateHealth()
 	}
@@ -241,6 +250,7 @@
 	if c.ticks%slowStepTicks == 0 {
 		c.stepTargets(announce.Tick{})
 		c.stepRollout(rollout.Tick{})
+		c.updateKeyLeasePeers()
 		c.sendEvidence()
 		c.counts.Store(&counts{nodes: len(c.nodes), targets: len(c.targetsByID), udp: c.transport.Counts(), rollout: c.rollout.Stats()})
 	}
@@ -315,7 +325,7 @@
 func (c *control) nodeChanged(n fleet.Node) {
 	old := c.nodes[n.ID]
 	c.nodes[n.ID] = n
-	c.viewChanged = true
+	c.viewChanged, c.keyLease.peersChanged = true, true
 	c.stepRollout(rollout.NodeChanged{Node: n})
 	c.loads.NodeChanged(n)
 	c.traffic.nodeChanged(n, c.node.self.DataCentre)
--- a/internal/node/lineage.go
+++ b/internal/node/lineage.go
@@ -120,6 +120,16 @@
 	return stated + l.offset(), stated != l.stated
 }
 
+// decided reports whether the place of a configuration that the store holds
+// among those that were in force is known: it is newer than the one in force, or
+// it is or was in force itself. Any other may be newer although its version is
+// lower, see lineage.
+func (l *lineage) decided(ordered uint64, digest string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return ordered > l.ordered || slices.Contains(l.seen, configurationHash(digest))
+}
+
 // due reports whether the store must be read again to decide about a
 // configuration with a lower version.
 func (l *lineage) due(now time.Time) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"siskinvale.dev/siskinvale/internal/config"
 	"siskinvale.dev/siskinvale/internal/event"
 	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/freshness"
 	"siskinvale.dev/siskinvale/internal/ingress"
 	"siskinvale.dev/siskinvale/internal/link"
 	"siskinvale.dev/siskinvale/internal/membership"
@@ -50,6 +51,8 @@
 	assignments  *assignments
 	control      *control
 	leaving      atomic.Bool
+	// bootTime reads the boot clock.
+	bootTime func() time.Duration
 }
 
 // New assembles a node from checked settings. It starts no goroutines and opens
@@ -73,6 +76,8 @@
 		log:     event.NewLogger(logger, event.Fields{"node": s.Node.ID, "dataCentre": s.Node.DataCentre}),
 		metrics: metric.NewSet(),
 		pool:    link.NewPool(linkConfig(s)),
+
+		bootTime: freshness.BootTime,
 	}
 	n.settings.Store(s)
 	n.adapter = adapter
@@ -102,6 +107,7 @@
 	ingressConfig := ingress.Config{
 		Self: n.self.ID, Local: n.sidecar, Remote: n.remote, Owners: n.assignments,
 		Log: n.log, Metrics: n.metrics, Clock: time.Now, InFlight: s.Limits.MaxInFlight,
+		KeyLease: n.ingressKeyLease(),
 	}
 	if adapter != nil {
 		n.sidecar.SetDialect(adapter.Dialect(), n.log)
@@ -271,6 +277,7 @@
 		})
 	}
 	n.control.traffic.register(n.metrics)
+	n.registerKeyLeaseGauges()
 	for scope, traffic := range map[string]*link.Traffic{"own": &n.pool.Own, "other": &n.pool.Other} {
 		n.metrics.RegisterGauge(fmt.Sprintf("siskinvale_link_bytes{dataCentre=%q,direction=\"sent\"}", scope), func() float64 {
 			sent, _ := traffic.Bytes()
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -9,6 +9,7 @@
 	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
 	"siskinvale.dev/siskinvale/internal/event"
 	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/freshness"
 	"siskinvale.dev/siskinvale/internal/membership"
 	"siskinvale.dev/siskinvale/internal/platform"
 	"siskinvale.dev/siskinvale/internal/rollout"
@@ -31,11 +32,9 @@
 	case rollout.Activate:
 		c.activate(a)
 	case rollout.ReadPlatform:
-		c.runAsync(platformReadTimeout, func(ctx context.Context) rollout.Event {
-			return c.node.bundles.Read(ctx)
-		})
+		c.callPlatform(platformReadTimeout, c.node.bundles.Read)
 	case rollout.WatchPlatform:
-		c.runAsync(watchTimeout, func(ctx context.Context) rollout.Event {
+		c.callPlatform(watchTimeout, func(ctx context.Context) rollout.PlatformRead {
 			return c.node.bundles.Watch(ctx, a)
 		})
 	case rollout.FetchEnvelope:
@@ -52,6 +51,8 @@
 		c.node.log.Log(event.BundleOlderOnPlatform, event.Fields{"version": a.Version, "inForce": a.InForce, "era": a.Era})
 	case rollout.Unconfirmed:
 		c.node.log.Log(event.BundleUnconfirmed, event.Fields{"ageMs": a.Age.Milliseconds(), "version": c.statedVersion.Load()})
+	case rollout.Confirmed:
+		c.stepKeyLease(freshness.PlatformConfirmed{SentAt: a.SentAt})
 	case rollout.Ready:
 		c.ready.Store(true)
 		c.node.log.Log(event.NodeReady, event.Fields{"version": c.statedVersion.Load()})
@@ -87,6 +88,20 @@
 	}()
 }
 
+// callPlatform runs a read or a watch of the platform in its own goroutine. It
+// notes when the call was sent if there is a lease on API keys.
+func (c *control) callPlatform(timeout time.Duration, call func(ctx context.Context) rollout.PlatformRead) {
+	c.runAsync(timeout, func(ctx context.Context) rollout.Event {
+		if c.keyLease.machine == nil {
+			return call(ctx)
+		}
+		sentAt := c.node.bootTime()
+		read := call(ctx)
+		read.SentAt = sentAt
+		return read
+	})
+}
+
 func (c *control) fetchEnvelope(ctx context.Context, a rollout.FetchEnvelope) rollout.Event {
 	client, err := c.node.peers.clientByID(a.From)
 	if err != nil {
@@ -135,6 +150,7 @@
 	}
 	c.viewChanged, c.viewUrgent = true, true
 	c.stepMembers(membership.BundleActivated{Version: a.Version})
+	c.stepKeyLease(freshness.Activated{Version: a.Version, RequiresKeys: b.Tenants.RequireKeys})
 	c.node.log.Log(event.BundleActivated, event.Fields{"version": b.Version, "digest": a.Digest, "bundle": b.Name})
 }
 
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -21,14 +21,17 @@
 	dutyLoads
 	dutyRecords
 	dutyHealth
-	duties = 4
+	dutyKeyLease
+	duties = 5
 )
 
-var dutyNames = [duties]string{"membership", "loads", "records", "health"}
+var dutyNames = [duties]string{"membership", "loads", "records", "health", "key-lease"}
 
 func dutyOf(d *controlv1.Datagram) duty {
 	e := d.GetEvidence()
 	switch {
+	case d.GetConfirmationQuery() != nil, d.GetConfirmationAnswer() != nil:
+		return dutyKeyLease
 	case e == nil:
 		return dutyMembership
 	case len(e.GetLoads()) > 0:
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -149,7 +149,15 @@
 	At platform.Position
 	// FromWatch is true for the result of WatchPlatform.
 	FromWatch bool
-	Err       error
+	// Since is the position of the WatchPlatform whose result this is.
+	Since platform.Position
+	// Undecided is set while the platform holds content whose version is not
+	// known yet. Such a result confirms nothing.
+	Undecided bool
+	// SentAt is the time at which the call was sent, by a clock of the caller's
+	// choice. With 0, no Confirmed is emitted.
+	SentAt time.Duration
+	Err    error
 }
 
 // EnvelopeReceived is a peer's answer to FetchEnvelope. Envelope is empty when
@@ -174,6 +182,10 @@
 	Err   error
 }
 
+// ReadRequested makes the machine read the platform now. It does not wait for a
+// call in flight.
+type ReadRequested struct{}
+
 // Tick lets the machine act on timeouts and intervals. The caller of
 // Machine.Step sends it several times per second.
 type Tick struct{}
@@ -184,6 +196,7 @@
 func (EnvelopeReceived) event() {}
 func (PiecesReceived) event()   {}
 func (FetchFailed) event()      {}
+func (ReadRequested) event()    {}
 func (Tick) event()             {}
 
 // Action is an output of Machine.Step.
@@ -239,6 +252,10 @@
 // each such time.
 type Unconfirmed struct{ Age time.Duration }
 
+// Confirmed reports that the platform held no newer envelope than the one in
+// force when a call was sent, see PlatformRead.SentAt.
+type Confirmed struct{ SentAt time.Duration }
+
 // Ready is emitted once, when the rollout no longer prevents the node from
 // serving callers.
 type Ready struct{}
@@ -252,6 +269,7 @@
 func (Conflict) action()        {}
 func (OlderOnPlatform) action() {}
 func (Unconfirmed) action()     {}
+func (Confirmed) action()       {}
 func (Ready) action()           {}
 
 // Content is the encoded form of a bundle that is or was in force, as served to
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"errors"
 	"math"
 	"math/rand/v2"
@@ -99,8 +100,11 @@
 	nextCall  time.Time // earliest time of the next call
 	backoff   time.Duration
 	at        platform.Position
-	readDone  bool        // cleared when a reader must read again before it watches
-	older     olderBundle // last one that was reported
+	// heldVersion is the version that the platform held at the position at, 0 if
+	// it is not known.
+	heldVersion uint64
+	readDone    bool        // cleared when a reader must read again before it watches
+	older       olderBundle // last one that was reported
 	// version is that of the last envelope that the platform returned,
 	// unusableVersion if it could not be verified.
 	version uint64
@@ -196,6 +200,8 @@
 		m.piecesReceived(e)
 	case FetchFailed:
 		m.fetchFailed(e)
+	case ReadRequested:
+		m.readPlatform(ReadOnRequest)
 	}
 	m.advance()
 	return m.actions
@@ -271,7 +277,7 @@
 	if m.liveByCentre[m.cfg.DataCentre] == 0 {
 		dataCentres++
 	}
-	reader := m.lowerHashes < max(m.cfg.Readers, (m.cfg.MinReaders+dataCentres-1)/dataCentres)
+	reader := m.lowerHashes < m.readersPerCentre(dataCentres)
 	if reader && !m.reader {
 		m.platform.readDone = false
 		m.platform.nextCall = m.now
@@ -279,6 +285,29 @@
 	m.reader = reader
 }
 
+// Readers returns the live peers that are readers according to the nodes that
+// this one knows.
+func (m *Machine) Readers() map[fleet.NodeID]bool {
+	byCentre := map[string][]fleet.NodeID{m.cfg.DataCentre: {m.self}}
+	for _, id := range m.live {
+		centre := m.nodes[id].DataCentre
+		byCentre[centre] = append(byCentre[centre], id)
+	}
+	readers := make(map[fleet.NodeID]bool)
+	for _, ids := range byCentre {
+		slices.SortFunc(ids, func(a, b fleet.NodeID) int { return cmp.Compare(readerHash(a), readerHash(b)) })
+		for _, id := range ids[:min(len(ids), m.readersPerCentre(len(byCentre)))] {
+			readers[id] = true
+		}
+	}
+	delete(readers, m.self)
+	return readers
+}
+
+func (m *Machine) readersPerCentre(dataCentres int) int {
+	return max(m.cfg.Readers, (m.cfg.MinReaders+dataCentres-1)/dataCentres)
+}
+
 func readerHash(id fleet.NodeID) uint64 { return xxhash.Sum64String("bundle reader " + string(id)) }
 
 func (m *Machine) peerVersionReported(e PeerVersion) {
--- a/internal/rollout/platform.go
+++ b/internal/rollout/platform.go
@@ -26,10 +26,12 @@
 	// ReadUnconfirmed is the read of a node that is not a reader while no node
 	// has confirmed the bundle in force within Config.ConfirmWithin.
 	ReadUnconfirmed
+	// ReadOnRequest is the read that a ReadRequested asks for.
+	ReadOnRequest
 	readReasons
 )
 
-var readReasonNames = [readReasons]string{"before-watch", "no-answers", "no-bundle", "conflict", "behind", "unconfirmed"}
+var readReasonNames = [readReasons]string{"before-watch", "no-answers", "no-bundle", "conflict", "behind", "unconfirmed", "requested"}
 
 func (r ReadReason) String() string { return readReasonNames[r] }
 
@@ -151,6 +153,9 @@
 		return
 	}
 	p.inFlight, p.backoff, p.nextCall = false, 0, m.now
+	// The result of a watch may arrive after that of a later read.
+	unchanged := e.FromWatch && e.Since == p.at
+	latest := !e.FromWatch || e.At.Era != p.at.Era || e.At.Revision >= p.at.Revision
 	if e.FromWatch && e.At.Era == p.at.Era {
 		p.at.Revision = max(p.at.Revision, e.At.Revision)
 	} else {
@@ -175,6 +180,33 @@
 	if m.inForce.Version >= p.version {
 		m.confirmation.confirm(p.startedAt)
 	}
+	held := m.heldVersion(e, unchanged)
+	if latest {
+		p.heldVersion = held
+	}
+	if e.SentAt > 0 && held > 0 && held <= m.inForce.Version {
+		m.emit(Confirmed{e.SentAt})
+	}
+}
+
+// heldVersion returns the version of the envelope that the platform held when a
+// call ended, 0 if the result does not tell or if the envelope in force has the
+// same version and other content. A result without an envelope shows that the
+// version is unchanged if it is that of a watch from the last known position.
+func (m *Machine) heldVersion(e PlatformRead, unchanged bool) uint64 {
+	switch {
+	case e.Undecided:
+		return 0
+	case len(e.Envelope) == 0 && unchanged:
+		return m.platform.heldVersion
+	case len(e.Envelope) == 0:
+		return 0
+	}
+	version, digest, _, err := m.verifier.Verify(e.Envelope)
+	if err != nil || version == m.inForce.Version && digest != m.inForce.Digest {
+		return 0
+	}
+	return version
 }
 
 // reportOlder reports a bundle on the platform that is older than the one in
--- a/internal/rollout/shell.go
+++ b/internal/rollout/shell.go
@@ -19,7 +19,7 @@
 func Watch(ctx context.Context, c platform.Client, w WatchPlatform) PlatformRead {
 	objects, at, err := c.Watch(ctx, ActiveKey, w.Since)
 	read := platformResult(objects, at, err)
-	read.FromWatch = true
+	read.FromWatch, read.Since = true, w.Since
 	return read
 }
 
