--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -104,6 +104,7 @@
 		header: r.Header, received: now,
 		firstAttempt: r.Header.Get(link.HeaderAttempt) == "1", apiKey: r.Header.Get(link.HeaderAPIKey), view: view,
 	}
+	r.Header.Del(link.HeaderAPIKey)
 	if view.Bundle == nil {
 		return req, req.problemBeforeAttempt(http.StatusServiceUnavailable, "no bundle is in force on this node yet")
 	}
