--- a/internal/node/lineage_test.go
+++ b/internal/node/lineage_test.go
@@ -53,6 +53,16 @@
 		Expect(hold(10, "new", 2, 3*time.Second)).To(Equal(uint64(13)))
 	})
 
+	// Guards against a key that works for longer because the configuration that
+	// takes it away has a lower version than the one in force.
+	It("does not know the place of a lower configuration that was never in force", func() {
+		Expect(l.decided(12, "m")).To(BeTrue())
+		Expect(l.decided(9, "j")).To(BeTrue())
+		Expect(l.decided(13, "new")).To(BeTrue())
+		Expect(l.decided(10, "new")).To(BeFalse())
+		Expect(l.decided(12, "new")).To(BeFalse())
+	})
+
 	It("forgets the oldest configurations first, and those of peers before its own", func() {
 		late := &lineage{}
 		var many []uint64
