--- a/internal/freshness/machine.go
+++ b/internal/freshness/machine.go
@@ -39,6 +39,9 @@
 	// staleFraction is the age from which a peer's confirmation is too old to be
 	// of use and another peer is asked without delay.
 	staleFraction = 0.6
+	// readerQueryFraction is the age from which a reader asks other nodes, because
+	// its own calls to the platform seem to fail.
+	readerQueryFraction = 0.5
 	// readFraction is the age from which a node reads the platform, and
 	// readerReadFraction the same for a reader, which also repeats its watches.
 	// Random delays of up to readSpread distribute the reads of many nodes.
@@ -282,7 +285,7 @@
 // ask sends a query if one is due. A node whose own calls to the platform
 // confirm the bundle often enough asks nobody.
 func (m *Machine) ask() {
-	if m.latest != nil || m.now < m.nextAsk || m.reader && m.age() < m.part(staleFraction) {
+	if m.latest != nil || m.now < m.nextAsk || m.reader && m.age() < m.part(readerQueryFraction) {
 		return
 	}
 	to, ok := m.choosePeer()
