Order requests at the target by rank

Cause: the platform's priorities 0 and 1 shared one lane, and the rank of an organisation had no effect. Change: the admission queue has a lane for each rank; each rank leaves one of BackgroundEvery starts to the ranks below it. The rank goes with each call in a fifth class parameter, sent only for ranks without a name, so that older nodes still read the call. fleet.Priority keeps its zero value, Background.

--- a/internal/admission/backlog.go
+++ b/internal/admission/backlog.go
@@ -58,11 +58,13 @@
 // WaitShare of the time from its beginning to their deadline.
 func (q *Queue) updateOverdue(now time.Time) []Action {
 	for i := range q.lanes {
-		for _, t := range q.lanes[i].tenants {
-			for _, e := range slices.Clone(t.items) {
-				if q.missesObjective(now, e.Item) {
-					q.lanes[i].remove(e)
-					q.overdue.push(e)
+		for _, l := range slices.Backward(q.lanes[i].byRank) {
+			for _, t := range l.tenants {
+				for _, e := range slices.Clone(t.items) {
+					if q.missesObjective(now, e.Item) {
+						l.remove(e)
+						q.overdue.push(e)
+					}
 				}
 			}
 		}
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -4,13 +4,19 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
 )
 
-// lane holds the queued items of one length and priority. It shares the run
+// lane holds the queued items of one length and rank. It shares the run
 // time between tenants by start-time fair queueing: with each started item, the
 // tenant's virtual time advances by the item's expected run time divided by the
 // tenant's share, and the tenant with the lowest virtual time is served next.
 type lane struct {
+	priority fleet.Priority
+	// starts counts the starts of items of this rank since an item of a lower
+	// rank last started or none was queued.
+	starts  int
 	tenants map[string]*tenant // tenants with queued items, by name
 	virtual float64            // virtual time of the latest start, 0 after a reset by charge
 	// idleVirtual keeps the virtual times of tenants without queued items, as
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -13,7 +13,7 @@
 type Discipline uint8
 
 const (
-	// Fair queues short and long work separately, orders it by priority and
+	// Fair queues short and long work separately, orders it by rank and
 	// shares slots between tenants. It is the default.
 	Fair Discipline = iota
 	// FIFO starts items in order of arrival and sheds load only by deadline and
@@ -41,7 +41,7 @@
 	// DefaultMaxQueue bounds the memory of one queue.
 	DefaultMaxQueue = 1024
 	// DefaultBackgroundEvery is the number of starts of short or of long items
-	// among which at least one is of a background item, if one is queued.
+	// among which at least one is of a less urgent item, if one is queued.
 	DefaultBackgroundEvery = 8
 	// DefaultWaitShare is the largest fraction of the time to the deadline that
 	// an item may be expected to wait. The remaining time allows for run times
@@ -73,9 +73,9 @@
 	MaxLong int
 	// MaxQueue is the largest number of queued items; default DefaultMaxQueue.
 	MaxQueue int
-	// BackgroundEvery bounds the starvation of background work: if background
-	// items are queued, at least one of so many starts of their length is of a
-	// background item. The default is DefaultBackgroundEvery, the minimum is 2.
+	// BackgroundEvery bounds the starvation of less urgent work: if items of lower
+	// ranks are queued, at least one of so many starts of their length is of a
+	// lower rank. The default is DefaultBackgroundEvery, the minimum is 2.
 	BackgroundEvery int
 	// WaitShare is the largest fraction of the time to the deadline that an item
 	// may wait; default DefaultWaitShare.
@@ -108,7 +108,7 @@
 // not safe for concurrent use.
 type Queue struct {
 	cfg         Config
-	lanes       [4]lane           // indexed by length and priority, see lane
+	lanes       [2]lanes          // indexed by length
 	nested      backlog           // calls that running requests wait for
 	overdue     backlog           // items that can no longer meet their latency objective
 	items       map[uint64]*entry // queued and running items, by ID
@@ -116,12 +116,9 @@
 	runningLong int // running long items
 	draining    bool
 	runTimes    map[string]*runTimeEstimate // by class
-	// starts counts, for each length, the starts of interactive items since a
-	// background item last started or none was queued.
-	starts  [2]int
-	demand  demand
-	rate    rateLimit
-	lastSeq uint64
+	demand      demand
+	rate        rateLimit
+	lastSeq     uint64
 }
 
 // entry is a queued or running item.
@@ -147,15 +144,11 @@
 
 // New returns an empty Queue.
 func New(cfg Config) *Queue {
-	q := &Queue{cfg: cfg.withDefaults(), items: map[uint64]*entry{}, runTimes: map[string]*runTimeEstimate{}}
-	for i := range q.lanes {
-		q.lanes[i].tenants = map[string]*tenant{}
-	}
-	return q
+	return &Queue{cfg: cfg.withDefaults(), items: map[uint64]*entry{}, runTimes: map[string]*runTimeEstimate{}}
 }
 
-// lane returns the lane for items of this length and priority.
-func (q *Queue) lane(i Item) *lane { return &q.lanes[int(i.Length)*2+int(i.Priority)] }
+// lane returns the lane for items of this length and rank.
+func (q *Queue) lane(i Item) *lane { return q.lanes[i.Length].ofRank(i.Priority) }
 
 // Step applies ev at the time now and returns the resulting decisions.
 func (q *Queue) Step(now time.Time, ev Event) []Action {
@@ -258,14 +251,7 @@
 	if q.missesObjective(now, item) {
 		work += float64(q.overdue.work)
 	}
-	otherPriority := &q.lanes[int(item.Length)*2+1-int(item.Priority)]
-	backgroundShare := 1 / float64(q.cfg.BackgroundEvery)
-	if item.Priority == fleet.Interactive {
-		// Background work gets at most one of BackgroundEvery starts.
-		work += min(float64(otherPriority.work), float64(ahead)*backgroundShare)
-	} else if otherPriority.work > 0 {
-		work += min(float64(otherPriority.work), float64(ahead+q.expected(item))/backgroundShare)
-	}
+	work += q.lanes[item.Length].workOfOtherRanks(item.Priority, ahead, q.expected(item), q.cfg.BackgroundEvery)
 	return time.Duration(work / slots)
 }
 
@@ -396,7 +382,7 @@
 		if e.Length == fleet.Long {
 			q.runningLong++
 		}
-		q.countStart(e)
+		q.lanes[e.Length].countStart(e.Priority)
 		if q.cfg.Discipline == Fair {
 			l := q.lane(e.Item)
 			l.charge(e, q.share(l, e.Item))
@@ -406,15 +392,6 @@
 	return actions
 }
 
-// countStart updates starts for an item that starts.
-func (q *Queue) countStart(e *entry) {
-	if e.Priority == fleet.Background || q.lanes[int(e.Length)*2].count == 0 {
-		q.starts[e.Length] = 0
-	} else {
-		q.starts[e.Length]++
-	}
-}
-
 // popNext removes the item that starts next from its lane or backlog and
 // returns it, or nil if no item can start.
 func (q *Queue) popNext(now time.Time) *entry {
@@ -428,32 +405,24 @@
 	// steady short work would starve it.
 	allowLong := q.runningLong < q.longLimit(now)
 	if allowLong {
-		if e := q.popByPriority(now, fleet.Long); e != nil {
+		if e := q.lanes[fleet.Long].popNext(now, q); e != nil {
 			return e
 		}
 	}
-	if e := q.popByPriority(now, fleet.Short); e != nil {
+	if e := q.lanes[fleet.Short].popNext(now, q); e != nil {
 		return e
 	}
 	return q.overdue.popOldest(allowLong)
 }
 
-// popByPriority removes and returns the next item of the given length: an
-// interactive one, unless a background item is due or none is interactive.
-func (q *Queue) popByPriority(now time.Time, length fleet.Length) *entry {
-	background, interactive := &q.lanes[int(length)*2], &q.lanes[int(length)*2+1]
-	if background.count > 0 && (interactive.count == 0 || q.starts[length] >= q.cfg.BackgroundEvery-1) {
-		return background.popNext(now, q)
-	}
-	return interactive.popNext(now, q)
-}
-
 // popOldest removes and returns the item that has waited longest, for FIFO.
 func (q *Queue) popOldest() *entry {
 	var oldest *entry
 	for i := range q.lanes {
-		if e := q.lanes[i].oldest(); e != nil && (oldest == nil || e.before(oldest)) {
-			oldest = e
+		for _, l := range q.lanes[i].byRank {
+			if e := l.oldest(); e != nil && (oldest == nil || e.before(oldest)) {
+				oldest = e
+			}
 		}
 	}
 	if oldest != nil {
@@ -496,30 +465,3 @@
 	}
 	return l
 }
-
-// demand estimates how many slots short work needs, from the expected run times
-// of the short items that arrive.
-type demand struct {
-	current, peak float64 // slots
-	updated       time.Time
-}
-
-func (d *demand) decay(now time.Time) {
-	if !d.updated.IsZero() {
-		elapsed := float64(now.Sub(d.updated))
-		d.current *= math.Exp(-elapsed / float64(demandWindow))
-		d.peak *= math.Exp(-elapsed / float64(demandMemory))
-	}
-	d.updated = now
-}
-
-func (d *demand) add(now time.Time, work time.Duration) {
-	d.decay(now)
-	d.current += float64(work) / float64(demandWindow)
-	d.peak = max(d.peak, d.current)
-}
-
-func (d *demand) peakSlots(now time.Time) float64 {
-	d.decay(now)
-	return d.peak
-}
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -210,6 +210,15 @@
 	return b.Tenants.Default
 }
 
+// Priority returns the priority of an organisation's requests of a class. The
+// name of the organisation counts only if API keys identify organisations.
+func (b *Bundle) Priority(tenant string, class *Class) fleet.Priority {
+	if i, ok := b.index.organisations[tenant]; ok && b.Tenants.RequireKeys {
+		return b.Tenants.Named[i].Priority(class)
+	}
+	return class.Priority
+}
+
 // Class returns the class with the given name, or nil.
 func (s *Service) Class(name string) *Class {
 	for i := range s.Classes {
--- a/internal/bundle/organisation.go
+++ b/internal/bundle/organisation.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
 )
 
 // KeyHash is the SHA-256 of an API key. Bundles hold hashes only, so that
@@ -66,6 +68,15 @@
 	return nil
 }
 
+// Priority returns the priority of the organisation's requests of a class. l is
+// nil for requests without an organisation.
+func (l *NamedLimit) Priority(class *Class) fleet.Priority {
+	if l == nil || l.Rank == nil {
+		return class.Priority
+	}
+	return l.Rank.Priority()
+}
+
 // Quota returns the quota of an organisation, the zero Quota if it has none. It
 // must be called only on a bundle that Parse or NewHostRouted returned.
 func (b *Bundle) Quota(organisation string) Quota {
--- a/internal/fleet/class.go
+++ b/internal/fleet/class.go
@@ -1,9 +1,16 @@
 package fleet
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
+
+// Rank orders requests that compete for room; 0 is the most urgent.
+type Rank uint8
 
-// Priority orders the requests of different classes at a target.
-type Priority uint8
+// Priority is a rank on a scale that ascends with urgency. Its zero value is
+// Background, so that a class without a stated rank is not the most urgent.
+type Priority int16
 
 const (
 	// Background work may wait for interactive work, but is never starved.
@@ -12,8 +19,14 @@
 	Interactive
 )
 
-// Rank orders requests that compete for room; 0 is the most urgent.
-type Rank uint8
+// backgroundRank is the rank of Background.
+const backgroundRank = 2
+
+// Priority returns the priority of the rank.
+func (r Rank) Priority() Priority { return backgroundRank - Priority(r) }
+
+// Rank returns the rank of the priority.
+func (p Priority) Rank() Rank { return Rank(min(max(backgroundRank-p, 0), math.MaxUint8)) }
 
 // Length separates requests that hold a slot for the usual time from those that
 // hold a slot many times longer.
@@ -28,10 +41,14 @@
 )
 
 func (p Priority) String() string {
-	if p == Interactive {
+	switch p {
+	case Background:
+		return "background"
+	case Interactive:
 		return "interactive"
+	default:
+		return fmt.Sprintf("rank %d", p.Rank())
 	}
-	return "background"
 }
 
 func (l Length) String() string {
@@ -41,8 +58,14 @@
 	return "short"
 }
 
-// MarshalText returns the name used in bundles.
-func (p Priority) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+// MarshalText returns the name used in bundles, and an error for a rank without
+// a name.
+func (p Priority) MarshalText() ([]byte, error) {
+	if p != Interactive && p != Background {
+		return nil, fmt.Errorf("%s has no name in bundles", p)
+	}
+	return []byte(p.String()), nil
+}
 
 // MarshalText returns the name used in bundles.
 func (l Length) MarshalText() ([]byte, error) { return []byte(l.String()), nil }
--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -321,26 +321,42 @@
 }
 
 // format returns priority, length, idempotence (0 or 1) and the expected run
-// time in microseconds, separated by commas.
+// time in microseconds, separated by commas. A rank other than the two named
+// ones follows as the fifth value; nodes that do not know it use the nearest
+// named one, the first value.
 func (p *ClassParams) format() string {
 	idempotent := 0
 	if p.Idempotent {
 		idempotent = 1
 	}
-	return fmt.Sprintf("%d,%d,%d,%d", p.Priority, p.Length, idempotent, p.Expected.Microseconds())
+	named := min(max(p.Priority, fleet.Background), fleet.Interactive)
+	params := fmt.Sprintf("%d,%d,%d,%d", named, p.Length, idempotent, p.Expected.Microseconds())
+	if p.Priority != named {
+		params += fmt.Sprintf(",%d", p.Priority.Rank())
+	}
+	return params
 }
 
 func parseClassParams(s string) (*ClassParams, error) {
-	var priority, length, idempotent uint8
+	var named, length, idempotent, rank uint8
 	var expected int64
-	if _, err := fmt.Sscanf(s, "%d,%d,%d,%d", &priority, &length, &idempotent, &expected); err != nil {
+	format, values := "%d,%d,%d,%d", []any{&named, &length, &idempotent, &expected}
+	ranked := strings.Count(s, ",") >= len(values)
+	if ranked {
+		format, values = format+",%d", append(values, &rank)
+	}
+	if _, err := fmt.Sscanf(s, format, values...); err != nil {
 		return nil, fmt.Errorf("%s %q: %w", headerClassParams, s, err)
 	}
-	if fleet.Priority(priority) > fleet.Interactive || fleet.Length(length) > fleet.Long || expected < 0 {
+	if fleet.Priority(named) > fleet.Interactive || fleet.Length(length) > fleet.Long || expected < 0 {
 		return nil, fmt.Errorf("%s %q is out of range", headerClassParams, s)
 	}
+	priority := fleet.Priority(named)
+	if ranked {
+		priority = fleet.Rank(rank).Priority()
+	}
 	return &ClassParams{
-		Priority: fleet.Priority(priority), Length: fleet.Length(length), Idempotent: idempotent == 1,
+		Priority: priority, Length: fleet.Length(length), Idempotent: idempotent == 1,
 		Expected: time.Duration(expected) * time.Microsecond,
 	}, nil
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -127,6 +127,40 @@
 		Expect(got.RateLimit).To(BeZero())
 	})
 
+	// Guards against a rank that is lost between the ingress and the sidecar, and
+	// against a mixed fleet in which calls of one version are refused by the
+	// other.
+	It("carries the rank of a call, also from nodes that know only two", func() {
+		var got *link.Call
+		handler := link.NewHandler(newKeys(), forwarderFunc(func(_ context.Context, c *link.Call) *link.Reply {
+			got = c
+			return link.Refused(c, "noted")
+		}), noAuthFailures)
+		const terms = "Siskinvale-Terms"
+		var sent, replaced string
+		node := startPeer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			sent = r.Header.Get(terms)
+			if replaced != "" {
+				r.Header.Set(terms, replaced)
+			}
+			handler.ServeHTTP(w, r)
+		}))
+		forward := func(p fleet.Priority) *link.ClassParams {
+			call := newCall()
+			call.ClassParams = &link.ClassParams{Priority: p, Idempotent: true, Expected: time.Millisecond}
+			got = nil
+			remote.Forward(context.Background(), node, fleet.Short, call).Body.Close()
+			Expect(got).NotTo(BeNil())
+			return got.ClassParams
+		}
+		for rank, header := range map[fleet.Rank]string{0: "1,0,1,1000,0", 1: "1,0,1,1000", 2: "0,0,1,1000", 3: "0,0,1,1000,3", 255: "0,0,1,1000,255"} {
+			Expect(forward(rank.Priority()).Priority.Rank()).To(Equal(rank))
+			Expect(sent).To(Equal(header))
+		}
+		replaced = "1,0,1,1000"
+		Expect(forward(fleet.Background)).To(HaveField("Priority", fleet.Interactive))
+	})
+
 	// Guards against sending the body with every sidecar attempt, including the
 	// refused ones.
 	It("holds a large body back until the sidecar admits the call", func() {
