--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -117,6 +118,21 @@
 	}
 }
 
+// startOrder orders queued entries by what starts first, without the starts that
+// are left to lower ranks.
+func (q *Queue) startOrder(e *entry) int {
+	switch {
+	case q.cfg.Discipline == FIFO:
+		return 0
+	case e.Nested:
+		return math.MinInt
+	case e.backlog == &q.overdue:
+		return math.MaxInt
+	default:
+		return -int(e.Priority)
+	}
+}
+
 // NextStart returns the time until the rate limit lets a queued item start. ok
 // is false if no queued item waits for the rate limit alone.
 func (q *Queue) NextStart(now time.Time) (delay time.Duration, ok bool) {
@@ -138,13 +154,7 @@
 		}
 	}
 	slices.SortFunc(queued, func(a, b *entry) int {
-		if a.Nested != b.Nested || a.backlog != b.backlog || a.Priority != b.Priority {
-			if q.startsBefore(now, a, b.Item) {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(a.seq, b.seq)
+		return cmp.Or(cmp.Compare(q.startOrder(a), q.startOrder(b)), cmp.Compare(a.seq, b.seq))
 	})
 	var actions []Action
 	kept := 0
--- a/internal/admission/rate_test.go
+++ b/internal/admission/rate_test.go
@@ -122,6 +122,26 @@
 		Expect(refused).To(Equal(3), "the others start after 1 s, 2 s and 3 s, before their deadline")
 	})
 
+	// Guards against a refusal that depends on the order of a map: overdue
+	// requests, and nested ones, start in order of arrival, whatever their rank.
+	It("refuses the same requests each time a new limit makes some unreachable", func() {
+		for range 30 {
+			q = admission.New(admission.Config{Slots: 1})
+			id = 0
+			arrive(nil)
+			for i := range 6 {
+				arrive(func(item *admission.Item) {
+					item.Priority, item.Nested = fleet.Priority(i%2), i >= 4
+					if i < 4 {
+						item.Objective = now.Add(ms)
+					}
+				})
+			}
+			Expect(q.Step(now, admission.SetRateLimit{PerSecond: 1})).To(HaveExactElements(
+				HaveField("ID", uint64(3)), HaveField("ID", uint64(4)), HaveField("ID", uint64(5))))
+		}
+	})
+
 	// Guards against less urgent requests that use up the limit of a target.
 	It("serves nested calls and urgent requests first", func() {
 		q.Step(now, admission.SetRateLimit{PerSecond: 1})
