--- a/internal/ingress/call_origin.go
+++ b/internal/ingress/call_origin.go
@@ -89,15 +89,9 @@
 func (o origin) String() string { return originNames[o] }
 
 // observe records a request that arrived while local targets ran the given
-// number of requests. keyless marks a request that needs no API key where other
-// requests do. observe returns the origin of the request's class and whether
+// number of requests. It returns the origin of the request's class and whether
 // that origin has changed.
-//
-// A class of keyless requests is attributed to targets until a request arrives
-// while no local target runs anything, because calls of targets carry no keys.
-// A target that is busy from the first request on would otherwise keep the
-// origin unknown, and its calls would wait behind new work.
-func (n *originClassifier) observe(service, class string, keyless bool, running int64) (from origin, changed bool) {
+func (n *originClassifier) observe(service, class string, running int64) (from origin, changed bool) {
 	key := classKey{service, class}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -120,7 +114,7 @@
 	switch {
 	case s.idleArrivals >= minIdleArrivals:
 		from = originCallers
-	case s.idleArrivals == 0 && (keyless || s.callerChance <= maxCallerChance):
+	case s.idleArrivals == 0 && s.callerChance <= maxCallerChance:
 		from = originTargets
 	}
 	changed, s.loggedOrigin = from != s.loggedOrigin, from
@@ -186,8 +180,7 @@
 		return
 	}
 	runs := in.cfg.LocalRuns()
-	keyless := req.view.Bundle.Tenants.RequireKeys && req.class.Public && req.apiKey == ""
-	from, changed := in.origins.observe(req.service, req.class.Name, keyless, runs.Active)
+	from, changed := in.origins.observe(req.service, req.class.Name, runs.Active)
 	if changed {
 		in.cfg.Log.Log(event.ClassOriginLearned, event.Fields{
 			"request": req.id, "service": req.service, "class": req.class.Name, "origin": from.String(), "running": runs.Active,
