Let the rank of the class order requests of equally ranked organisations

Cause: an organisation's rank replaced that of the class, so that where organisations have equal ranks the classes lost the order they have today. Change: organisations' ranks take precedence and class ranks decide between equal ones; bundles without ranked organisations are unchanged.

--- a/internal/admission/rank_test.go
+++ b/internal/admission/rank_test.go
@@ -86,8 +86,9 @@
 
 var _ = Describe("Ranks", func() {
 	lowRank := fleet.Rank(3)
-	organisation := &bundle.NamedLimit{Name: "busy", Rank: &lowRank}
-	class := &bundle.Class{Priority: fleet.Rank(0).Priority()}
+	b := bundle.NewHostRouted("test", 1, nil, nil, []bundle.NamedLimit{{Name: "busy", Rank: &lowRank}, {Name: "other"}})
+	class := &bundle.Class{Priority: fleet.Rank(1).Priority()}
+	rankOf := func(organisation string) fleet.Rank { return b.Priority(b.Named(organisation), class).Rank() }
 
 	// Guards against a surge of less urgent requests that makes the urgent ones
 	// late or gets them refused.
@@ -101,8 +102,8 @@
 	},
 		Entry("of rank 2 beside rank 0", fleet.Rank(0), rankedLoad{rank: 2, tenant: "a", load: 4, from: 3 * time.Second}),
 		Entry("of rank 1 beside rank 0", fleet.Rank(0), rankedLoad{rank: 1, tenant: "a", load: 4, from: 3 * time.Second}),
-		Entry("of an organisation at seven times its usual rate, whose rank is lower than its class's", fleet.Rank(0),
-			rankedLoad{rank: organisation.Priority(class).Rank(), tenant: "busy", load: 7 * 0.2}))
+		Entry("of an organisation at seven times its usual rate, whose rank is lower than its class's", rankOf("other"),
+			rankedLoad{rank: rankOf("busy"), tenant: "busy", load: 7 * 0.2}))
 
 	// Guards against a rank that starves, and against a lower rank that takes
 	// the starts that are left to a higher one, while every rank alone would
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -155,8 +155,8 @@
 	// Quota bounds the organisation's requests through all nodes together. It is
 	// the zero Quota if there is no such bound.
 	Quota Quota `yaml:"quota,omitempty"`
-	// Rank replaces the rank of the class for the organisation's requests; nil
-	// leaves it.
+	// Rank takes precedence over the rank of the class for the organisation's
+	// requests; nil if there is none. See Bundle.Priority.
 	Rank *fleet.Rank `yaml:"rank,omitempty"`
 }
 
@@ -210,15 +210,6 @@
 	return b.Tenants.Default
 }
 
-// Priority returns the priority of an organisation's requests of a class. The
-// name of the organisation counts only if API keys identify organisations.
-func (b *Bundle) Priority(tenant string, class *Class) fleet.Priority {
-	if i, ok := b.index.organisations[tenant]; ok && b.Tenants.RequireKeys {
-		return b.Tenants.Named[i].Priority(class)
-	}
-	return class.Priority
-}
-
 // Class returns the class with the given name, or nil.
 func (s *Service) Class(name string) *Class {
 	for i := range s.Classes {
--- a/internal/bundle/organisation.go
+++ b/internal/bundle/organisation.go
@@ -68,13 +68,39 @@
 	return nil
 }
 
-// Priority returns the priority of the organisation's requests of a class. l is
-// nil for requests without an organisation.
-func (l *NamedLimit) Priority(class *Class) fleet.Priority {
-	if l == nil || l.Rank == nil {
+// Ranks that are told apart where organisations have ranks. Together they fill
+// the range of fleet.Rank.
+const (
+	classRanks        = 8
+	organisationRanks = 256 / classRanks
+)
+
+// Priority returns the priority of an organisation's requests of a class.
+// organisation is nil for requests that belong to none. If the bundle ranks
+// organisations, their rank takes precedence, and the rank of the class orders
+// requests of equally ranked ones; the class also stands in for the rank of a
+// missing organisation. Priority must be called only on a bundle that Parse or
+// NewHostRouted returned.
+func (b *Bundle) Priority(organisation *NamedLimit, class *Class) fleet.Priority {
+	if !b.index.ranked {
 		return class.Priority
 	}
-	return l.Rank.Priority()
+	classRank := min(class.Priority.Rank(), classRanks-1)
+	rank := classRank
+	if organisation != nil && organisation.Rank != nil {
+		rank = min(*organisation.Rank, organisationRanks-1)
+	}
+	return (rank*classRanks + classRank).Priority()
+}
+
+// Named returns the organisation with the given name, or nil if the bundle does
+// not name it. It must be called only on a bundle that Parse or NewHostRouted
+// returned.
+func (b *Bundle) Named(organisation string) *NamedLimit {
+	if i, ok := b.index.organisations[organisation]; ok {
+		return &b.Tenants.Named[i]
+	}
+	return nil
 }
 
 // Quota returns the quota of an organisation, the zero Quota if it has none. It
--- a/internal/bundle/route.go
+++ b/internal/bundle/route.go
@@ -13,6 +13,9 @@
 	// organisations holds positions in Tenants.Named by name.
 	organisations map[string]int32
 	keys          keyIndex
+	// ranked is set if API keys identify organisations and one of them has a
+	// rank.
+	ranked bool
 }
 
 type serviceIndex struct {
@@ -50,6 +53,7 @@
 	}
 	for i := range b.Tenants.Named {
 		ix.organisations[b.Tenants.Named[i].Name] = int32(i)
+		ix.ranked = ix.ranked || b.Tenants.RequireKeys && b.Tenants.Named[i].Rank != nil
 	}
 	return ix
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -254,7 +254,7 @@
 		ReceivedAt: r.received, Timeout: r.deadline.Sub(now), Objective: r.timeToObjective(now),
 		Method: r.method, Host: r.host, Path: r.path, Header: r.header,
 		ClassParams: &link.ClassParams{
-			Priority: r.organisation.Priority(r.class), Length: r.class.Length, Idempotent: r.class.Idempotent, Expected: r.class.Expected.AsDuration(),
+			Priority: r.view.Bundle.Priority(r.organisation, r.class), Length: r.class.Length, Idempotent: r.class.Idempotent, Expected: r.class.Expected.AsDuration(),
 		},
 		Body: r.attemptBody(), ContentLength: r.contentLength,
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -345,7 +345,7 @@
 	return admission.Item{
 		Class:    class.Name,
 		Tenant:   call.Tenant,
-		Priority: b.Priority(call.Tenant, class),
+		Priority: b.Priority(b.Named(call.Tenant), class),
 		Length:   class.Length,
 		Deadline: s.clock().Add(call.Timeout),
 		Expected: class.Expected.AsDuration(),
