--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -155,8 +155,8 @@
 	// Quota bounds the organisation's requests through all nodes together. It is
 	// the zero Quota if there is no such bound.
 	Quota Quota `yaml:"quota,omitempty"`
-	// Rank replaces the rank of the class for the organisation's requests; nil
-	// leaves it.
+	// Rank takes precedence over the rank of the class for the organisation's
+	// requests; nil if there is none. See Bundle.Priority.
 	Rank *fleet.Rank `yaml:"rank,omitempty"`
 }
 
