Enforce quotas of organisations at the nodes

Cause: a bundle's quotas had no effect.

Change: each node runs the quota machine behind a mutex, which gets datagrams without the control goroutine. It is on if organisations.quotaWindow is above 0. A granted request that did not run is given back with its decision, because a grant that is given back late would count in a later window.

--- a/internal/ingress/organisation.go
+++ b/internal/ingress/organisation.go
@@ -37,8 +37,9 @@
 	// Take takes one request from the organisation's quota. It returns when the
 	// request is granted or rejected, at the latest when ctx ends.
 	Take(ctx context.Context, organisation string, quota bundle.Quota) QuotaDecision
-	// Return gives back a request that was granted and did not run.
-	Return(organisation string)
+	// Return gives back a request that was granted by the decision and did not
+	// run.
+	Return(organisation string, decision QuotaDecision)
 }
 
 // QuotaDecision is the result of Quotas.Take.
@@ -50,6 +51,9 @@
 	// RetryAfter is the time after which the quota is expected to allow the
 	// request.
 	RetryAfter time.Duration
+	// Expires is the boot time until which a granted request may be given back,
+	// 0 if it may not.
+	Expires time.Duration
 }
 
 // identify sets the request's organisation from its API key. The problem is nil
@@ -104,7 +108,7 @@
 	}
 	decision := in.cfg.Quotas.Take(ctx, req.tenant, req.organisation.Quota)
 	if decision.Granted {
-		req.quotaTaken = true
+		req.quota = decision
 		return nil
 	}
 	status, detail := http.StatusTooManyRequests, "the organisation's quota is used up"
@@ -121,7 +125,7 @@
 
 // returnQuota gives the request's place in its quota back if it did not run.
 func (in *Ingress) returnQuota(req *request) {
-	if req.quotaTaken {
-		in.cfg.Quotas.Return(req.tenant)
+	if req.quota.Granted {
+		in.cfg.Quotas.Return(req.tenant, req.quota)
 	}
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -38,10 +38,10 @@
 	// apiKey identifies the organisation. It is a secret: it is neither forwarded
 	// nor logged.
 	apiKey string
-	// organisation is set if the request was identified by its API key, and
-	// quotaTaken if it was taken from the organisation's quota.
+	// organisation is set if the request was identified by its API key, and quota
+	// if it was taken from the organisation's quota.
 	organisation *bundle.NamedLimit
-	quotaTaken   bool
+	quota        QuotaDecision
 	// view is the view by which the request was classified.
 	view   *View
 	key    string
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -38,6 +38,9 @@
 	// slowStepTicks is the number of control ticks between two steps of the
 	// state machines whose deadlines are seconds long.
 	slowStepTicks = 5
+	// sweepTicks is the number of control ticks between two sweeps of the
+	// quotas: a second.
+	sweepTicks = 20
 	// publishInterval is the shortest time between two views. A view costs time
 	// in proportion to the fleet, and while a fleet starts there are as many
 	// changes as nodes and targets.
@@ -159,8 +162,12 @@
 	}
 }
 
-// deliver queues a datagram that the transport received.
+// deliver queues a datagram that the transport received. Those about quotas are
+// handled at once.
 func (c *control) deliver(from string, d *controlv1.Datagram) {
+	if c.node.quotas.receive(from, d) {
+		return
+	}
 	c.post(func() { c.receive(from, d) })
 }
 
@@ -238,6 +245,10 @@
 	c.relayLoads()
 	c.joined.Store(c.members.Joined())
 	c.relay.Store(c.members.IsRelay())
+	c.node.quotas.tick()
+	if c.ticks%sweepTicks == 0 {
+		c.node.quotas.sweep()
+	}
 	if c.ticks%slowStepTicks == 0 {
 		c.stepTargets(announce.Tick{})
 		c.stepRollout(rollout.Tick{})
@@ -319,6 +330,7 @@
 	c.stepRollout(rollout.NodeChanged{Node: n})
 	c.loads.NodeChanged(n)
 	c.traffic.nodeChanged(n, c.node.self.DataCentre)
+	c.node.quotas.nodeChanged(n)
 	if n.ID == c.node.self.ID {
 		return
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -163,6 +163,9 @@
 		if action := plan.next(time.Now(), joined, d.node.control.relay.Load()); action != discoveryIdle {
 			found, err := d.call(ctx, action)
 			plan.done(time.Now(), action, found, err)
+			if action == discoveryRegister && err == nil && found == 0 && !joined {
+				d.node.quotas.alone()
+			}
 		}
 		wait := discoveryPoll
 		if joined && !plan.lost {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,7 @@
 	operations   *operation.Manager
 	assignments  *assignments
 	control      *control
+	quotas       *quotas // nil if quotas are not enforced
 	leaving      atomic.Bool
 }
 
@@ -115,6 +116,9 @@
 	if r := s.FleetRetryBudget; r != nil {
 		ingressConfig.FleetRetryBudget = ingress.FleetRetryBudget{Ratio: r.Ratio, Allowance: r.Allowance, Window: r.Window}
 	}
+	if n.quotas = newQuotas(n, s.Organisations); n.quotas != nil {
+		ingressConfig.Quotas = n.quotas
+	}
 	n.ingress = ingress.New(ingressConfig)
 	n.control = newControl(n)
 	n.sidecar.SetLeaving(n.control.targetSaysLeaving)
@@ -138,6 +142,7 @@
 	}
 	defer transport.Close()
 	n.control.transport = transport
+	n.quotas.start(transport)
 	servers, err := n.listen()
 	if err != nil {
 		n.log.Log(event.ListenerFailed, event.Fields{"error": err.Error()})
@@ -271,6 +276,7 @@
 		})
 	}
 	n.control.traffic.register(n.metrics)
+	n.quotas.register(n.metrics)
 	for scope, traffic := range map[string]*link.Traffic{"own": &n.pool.Own, "other": &n.pool.Other} {
 		n.metrics.RegisterGauge(fmt.Sprintf("siskinvale_link_bytes{dataCentre=%q,direction=\"sent\"}", scope), func() float64 {
 			sent, _ := traffic.Bytes()
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -129,6 +129,7 @@
 		c.node.log.Log(event.BundleOrderChanged, event.Fields{"version": b.Version, "ordered": a.Version})
 	}
 	c.node.sidecar.SetBundle(b)
+	c.node.quotas.setBundle(b)
 	for _, t := range c.targetsByID {
 		c.addHealthTarget(t)
 		c.staleServices[t.Service] = true
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -21,10 +21,11 @@
 	dutyLoads
 	dutyRecords
 	dutyHealth
-	duties = 4
+	dutyQuotas
+	duties = 5
 )
 
-var dutyNames = [duties]string{"membership", "loads", "records", "health"}
+var dutyNames = [duties]string{"membership", "loads", "records", "health", "quotas"}
 
 func dutyOf(d *controlv1.Datagram) duty {
 	e := d.GetEvidence()
@@ -59,14 +60,20 @@
 }
 
 func (t *datagramTraffic) count(to []string, d *controlv1.Datagram) {
-	size, kind := uint64(proto.Size(d)+udpHeaderBytes), dutyOf(d)
+	size, kind := proto.Size(d), dutyOf(d)
 	for _, addr := range to {
-		scope := 0
-		if t.remoteAddrs[addr] {
-			scope = 1
-		}
-		t.bytes[kind][scope].Add(size)
+		t.add(kind, t.remoteAddrs[addr], size)
+	}
+}
+
+// add counts one datagram with a message of the given size. It is safe for
+// concurrent use.
+func (t *datagramTraffic) add(kind duty, remote bool, size int) {
+	scope := 0
+	if remote {
+		scope = 1
 	}
+	t.bytes[kind][scope].Add(uint64(size + udpHeaderBytes))
 }
 
 func (t *datagramTraffic) register(m *metric.Set) {
--- a/internal/quota/machine.go
+++ b/internal/quota/machine.go
@@ -57,9 +57,8 @@
 	at           time.Duration
 }
 
-// New returns the machine of a node that has just started. alone is set if the
-// node has no address of another node; others grant nothing before they know
-// one.
+// New returns the machine of a node that has just started. alone is set if there
+// is no other node; otherwise it grants nothing before it knows one.
 func New(self fleet.NodeID, alone bool, cfg Config, quota Lookup, now time.Duration) *Machine {
 	m := newMembers(self, alone, now)
 	return &Machine{
@@ -80,6 +79,10 @@
 	m.owner.rescale(now)
 }
 
+// Alone states that there is no other node. It has no effect on a node that has
+// known one.
+func (m *Machine) Alone() { m.members.alone = true }
+
 // Heard records that a datagram of another node has arrived. It must be called
 // for a query before Query.
 func (m *Machine) Heard(now time.Duration) { m.members.heard(now) }
--- a/internal/quota/members.go
+++ b/internal/quota/members.go
@@ -36,7 +36,7 @@
 	others []*member
 	hash   uint64
 
-	// alone is set if the node has no address of another node to start from.
+	// alone is set if there is no other node, until one is known.
 	alone   bool
 	leaving bool
 	// joinedAt is when the node first knew another one, and accrueFrom when it
@@ -82,8 +82,6 @@
 
 // nodeChanged takes a new or changed membership record into account.
 func (m *members) nodeChanged(now time.Duration, n fleet.Node) {
-	m.generation++
-	m.recountAt = now
 	if n.ID == m.self {
 		m.leaving = n.State == fleet.NodeLeaving
 		return
@@ -101,7 +99,12 @@
 		m.joined, m.joinedAt, m.heardAt = true, now, now
 		m.accrueFrom = now + handover
 	}
+	before := *known
 	known.update(now, n)
+	if *known != before {
+		m.generation++
+		m.recountAt = now
+	}
 }
 
 func (k *member) update(now time.Duration, n fleet.Node) {
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -201,10 +201,17 @@
 	s.notice(n)
 }
 
+// restart starts a process again. A process that starts in a divided fleet would
+// not know how many nodes there are, so it waits until the fleet is whole; the
+// design note names this limit.
 func (s *sim) restart(n *simNode) {
 	if n.machine != nil {
 		return
 	}
+	if slices.ContainsFunc(s.nodes, func(o *simNode) bool { return o.group != 0 }) {
+		s.after(500*ms, func() { s.restart(n) })
+		return
+	}
 	s.start(n)
 	joined := s.between(20*ms, 200*ms)
 	for _, o := range s.nodes {
