Let nodes that start learn which nodes are lost

Cause: a node that started while others were cut off did not know of them and granted the whole quota in its part of the fleet (random schedule, 1.58 of the tolerance). Requests granted in advance that expired made the quota smaller: a clump that one bucket would grant was refused.

Change: a node that has joined asks others for lost nodes. Requests are granted in advance only from tokens above the burst, which are part of the tolerance.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -39,8 +39,8 @@
 	// state machines whose deadlines are seconds long.
 	slowStepTicks = 5
 	// sweepTicks is the number of control ticks between two sweeps of the
-	// quotas: a second.
-	sweepTicks = 20
+	// quotas: half a second.
+	sweepTicks = 10
 	// publishInterval is the shortest time between two views. A view costs time
 	// in proportion to the fleet, and while a fleet starts there are as many
 	// changes as nodes and targets.
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -217,8 +217,9 @@
 		return
 	}
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.machine.Sweep(bootTime())
+	sends := slices.Clone(q.machine.Sweep(bootTime()))
+	q.mu.Unlock()
+	q.send(sends)
 }
 
 func (q *quotas) register(m *metric.Set) {
--- a/internal/quota/machine.go
+++ b/internal/quota/machine.go
@@ -43,8 +43,10 @@
 	waiterID uint64
 	// timeouts holds the queries in the order in which they were sent.
 	timeouts []timeout
-	sends    []Send
-	stats    Stats
+	// nextAsked is the index of the node that was asked last for lost nodes.
+	nextAsked int
+	sends     []Send
+	stats     Stats
 }
 
 // Lookup returns the quota of an organisation, the zero Quota if it has none. ok
@@ -205,8 +207,12 @@
 
 // Query answers a query of another node. from is its identifier.
 func (m *Machine) Query(now time.Duration, from fleet.NodeID, q *controlv1.QuotaQuery) *controlv1.QuotaAnswer {
-	m.stats.Answered++
 	out := &controlv1.QuotaAnswer{Sequence: q.GetSequence(), Grants: make([]*controlv1.QuotaGrant, 0, len(q.GetRequests()))}
+	if len(q.GetRequests()) == 0 {
+		m.members.answerLost(now, out)
+		return out
+	}
+	m.stats.Answered++
 	by := query{node: nodeHash(from), sequence: q.GetSequence()}
 	for _, r := range q.GetRequests() {
 		organisation, wanted := r.GetOrganisation(), min(int(r.GetWanted()), maxWanted)
@@ -236,6 +242,9 @@
 // to send.
 func (m *Machine) Answer(now time.Duration, a *controlv1.QuotaAnswer) []Send {
 	m.sends = m.sends[:0]
+	if len(a.GetLostNodes()) > 0 {
+		m.members.learnLost(now, a)
+	}
 	for _, g := range a.GetGrants() {
 		m.granted(now, a.GetSequence(), g)
 	}
@@ -295,8 +304,13 @@
 const sweepSize = 4096
 
 // Sweep drops the state of organisations that are not in use. It has to be
-// called about once a second.
-func (m *Machine) Sweep(now time.Duration) {
+// called twice a second. The returned datagrams have to be sent.
+func (m *Machine) Sweep(now time.Duration) []Send {
+	m.drop(now)
+	return m.askLost(now)
+}
+
+func (m *Machine) drop(now time.Duration) {
 	m.owner.rescale(now)
 	m.owner.sweep(now, m.quota, sweepSize)
 	n := sweepSize
--- a/internal/quota/members.go
+++ b/internal/quota/members.go
@@ -35,6 +35,9 @@
 	byID   map[fleet.NodeID]*member
 	others []*member
 	hash   uint64
+	// lost holds nodes that failed before this one started, by the hashes of
+	// their identifiers, with the times at which they failed.
+	lost map[uint32]time.Duration
 
 	// alone is set if there is no other node, until one is known.
 	alone   bool
@@ -60,7 +63,7 @@
 func newMembers(self fleet.NodeID, alone bool, now time.Duration) *members {
 	return &members{
 		self: self, hash: nodeHash(self), byID: make(map[fleet.NodeID]*member), alone: alone,
-		joinedAt: now, accrueFrom: now, heardAt: now, recountAt: now,
+		lost: make(map[uint32]time.Duration), joinedAt: now, accrueFrom: now, heardAt: now, recountAt: now,
 		scaleNow: 1, raisedFrom: 1, raisedAt: never,
 	}
 }
@@ -92,6 +95,7 @@
 			return
 		}
 		known = &member{id: n.ID, hash: nodeHash(n.ID), lostAt: never}
+		delete(m.lost, uint32(known.hash))
 		m.byID[n.ID] = known
 		m.others = append(m.others, known)
 	}
@@ -199,6 +203,14 @@
 			later(k.lostAt + seenRetention)
 		}
 	}
+	for hash, at := range m.lost {
+		if now-at >= seenRetention {
+			delete(m.lost, hash)
+			continue
+		}
+		seen++
+		later(at + seenRetention)
+	}
 	m.liveNow = usable
 	m.setScale(now, scale(live, seen))
 }
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -167,7 +167,8 @@
 }
 
 // prefetch grants requests that the asking node will probably want before they
-// expire. Only the upper half of the bucket is used for it.
+// expire. Only tokens above the burst are used for it, so that requests granted in
+// advance that are not used make the quota no smaller.
 func (b *bucket) prefetch(now time.Duration, s share, by query, granted int) int {
 	node, sequence, at := uint32(by.node), uint32(by.sequence), uint32(now.Milliseconds())
 	outstanding := b.evicted.total(now, prefetchValidity)
@@ -194,7 +195,7 @@
 	case gap < validityMs:
 		expected = float64(k.granted) / float64(gap) * float64(validityMs) / 2
 	}
-	n := max(int(min(expected, b.tokens-s.size/2, s.prefetch-outstanding)), 0)
+	n := max(int(min(expected, b.tokens-s.burst, s.prefetch-outstanding)), 0)
 	*k = asker{node: node, sequence: sequence, askedAt: at, granted: uint32(granted + n), extra: uint32(n)}
 	b.tokens -= float64(n)
 	return n
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -59,8 +59,9 @@
 )
 
 // Parts of the tolerance: the largest for answers under way, that for grants in
-// advance, and that for differences between the nodes' views while an owner
-// changes. The rest is the reserve.
+// advance (half of it for tokens above the burst, from which they are taken, and
+// half for those that are not used yet), and that for differences between the
+// nodes' views while an owner changes. The rest is the reserve.
 const (
 	answerPart   = 0.25
 	prefetchPart = 0.2
@@ -69,7 +70,9 @@
 
 // share is how a quota's tolerance is used.
 type share struct {
-	rate, size float64
+	// A bucket holds size tokens, which is burst and what may be granted in
+	// advance.
+	rate, burst, size float64
 	// answerAge is how long a grant for a waiting request may be used.
 	answerAge time.Duration
 	// prefetch is the largest number of unexpired grants in advance, and reserve
@@ -82,9 +85,9 @@
 	tolerance := c.Excess*(q.RequestsPerSecond*c.Window.Seconds()+q.Burst) + c.Slack
 	seconds := min(max(answerPart*tolerance/q.RequestsPerSecond, minAnswerAge.Seconds()), maxAnswerAge.Seconds())
 	return share{
-		rate: q.RequestsPerSecond, size: q.Burst,
+		rate: q.RequestsPerSecond, burst: q.Burst, size: q.Burst + prefetchPart/2*tolerance,
 		answerAge: time.Duration(seconds * float64(time.Second)),
-		prefetch:  prefetchPart * tolerance,
+		prefetch:  prefetchPart / 2 * tolerance,
 		reserve:   max((1-prefetchPart-viewPart)*tolerance-q.RequestsPerSecond*seconds, 0),
 	}
 }
