Count nodes towards the fleet's size as soon as they are known

Change: every known node counts towards the size at once, and towards the live nodes after a second.

--- a/internal/quota/lost.go
+++ b/internal/quota/lost.go
@@ -43,7 +43,7 @@
 		}
 	}
 	for _, o := range k.others {
-		if !o.usable && !o.left && o.counted {
+		if !o.usable && !o.left {
 			add(uint32(o.hash), o.lostAt)
 		}
 	}
--- a/internal/quota/members.go
+++ b/internal/quota/members.go
@@ -25,8 +25,6 @@
 	establishedAt, aliveAt time.Duration
 	// lostAt is when the node last stopped being usable or restarted.
 	lostAt time.Duration
-	// counted is set once the node has been part of the fleet's size.
-	counted bool
 }
 
 // members ranks the nodes of the fleet for each organisation.
@@ -185,20 +183,18 @@
 		}
 		switch {
 		case k.alive && now >= k.aliveAt:
-			live, seen, k.counted = live+1, seen+1, true
+			live, seen = live+1, seen+1
 		case k.usable:
 			if k.alive {
 				later(k.aliveAt)
 			}
-			if k.counted {
-				seen++
-			}
+			seen++
 		case now-k.lostAt >= seenRetention:
 			delete(m.byID, k.id)
 			m.others[i] = m.others[len(m.others)-1]
 			m.others = m.others[:len(m.others)-1]
 			i--
-		case !k.left && k.counted:
+		case !k.left:
 			seen++
 			later(k.lostAt + seenRetention)
 		}
