--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -250,6 +250,62 @@
 		Expect(s.unknown["org"]).To(BeNumerically(">", 0))
 	})
 
+	// Guards against a node that starts in one part of a divided fleet, does not
+	// know of the other part and grants the whole quota.
+	It("grants a part of the quota if it starts while other nodes are cut off", func() {
+		s := newSim(5, 10, testConfig, bundle.Quota{RequestsPerSecond: 50, Burst: 50})
+		s.runUntil(6 * time.Second)
+		first := s.ranked("org")[0]
+		s.kill(first)
+		s.divide(s.ranked("org")[1:6], 1)
+		s.runUntil(10 * time.Second)
+		s.start(first)
+		s.join(first)
+		s.runUntil(12 * time.Second)
+		Expect(first.machine.members.scaleNow).To(Equal(0.5))
+	})
+
+	// Guards against grants in advance to many nodes that are used together with
+	// a full bucket, and against those of an owner to one node that asks often.
+	It("bounds the unexpired grants in advance of all nodes together", func() {
+		q := bundle.Quota{RequestsPerSecond: 1000, Burst: 1000}
+		s := newSim(9, 2, testConfig, q)
+		s.runUntil(20 * time.Second)
+		o := s.ranked("org")[0].machine.owner
+		var extra []int
+		for i := range 10_000 {
+			now := s.now + time.Duration(i)*2*ms
+			o.members.heard(now)
+			extra = append(extra, o.take(now, "org", q, 1, false, query{node: 1 + uint64(i%6), sequence: uint64(i)}).extra)
+		}
+		worst := 0
+		for i := range len(extra) - 6 {
+			// Each of six nodes holds what it got by its latest query.
+			outstanding := 0
+			for _, n := range extra[i : i+6] {
+				outstanding += n
+			}
+			worst = max(worst, outstanding)
+		}
+		Expect(worst).To(BeNumerically(">", 0))
+		Expect(float64(worst)).To(BeNumerically("<=", testConfig.share(q).prefetch))
+	})
+
+	// Guards against answers that are delayed until a later window.
+	It("does not use an answer that is older than its validity", func() {
+		s := newSim(10, 2, testConfig, bundle.Quota{RequestsPerSecond: 100, Burst: 100})
+		s.runUntil(6 * time.Second)
+		node := s.ranked("org")[1].machine
+		_, w, sends := node.Take(s.now, "org", s.quota("org"))
+		sequence := sends[0].Query.GetSequence()
+		node.Answer(s.now+maxAnswerAge, &controlv1.QuotaAnswer{Sequence: sequence, Grants: []*controlv1.QuotaGrant{
+			{Organisation: "org", Granted: 1, ValidMs: 2000},
+		}})
+		Expect(w.Decided).NotTo(Receive())
+		node.Tick(s.now + waitLimit)
+		Expect(w.Decided).To(Receive(HaveField("Unknown", true)))
+	})
+
 	// Guards against a caller that left and whose place is granted later.
 	It("keeps a grant for a request that was abandoned or did not run", func() {
 		s := newSim(6, 3, testConfig, bundle.Quota{RequestsPerSecond: 1, Burst: 1})
