Relay quota queries of nodes that do not reach the owner

Change: the next node in order asks the owner for them. A node that did not answer is not asked first for a second.

--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -123,9 +123,9 @@
 	switch {
 	case query != nil:
 		q.mu.Lock()
-		out := q.machine.Query(now, fleet.NodeID(d.GetFrom()), query)
+		sends := slices.Clone(q.machine.Query(now, fleet.NodeID(d.GetFrom()), from, query))
 		q.mu.Unlock()
-		q.send([]quota.Send{{Addr: from, Answer: out}})
+		q.send(sends)
 		return true
 	case answer != nil:
 		q.mu.Lock()
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -28,10 +28,13 @@
 	organisation string
 	id           uint64
 	since        time.Duration
+	// relay is set if the request waits at another node, and Decided is not.
+	relay *relay
 }
 
 // demand is what the callers of this node ask for one organisation.
 type demand struct {
+	machine *Machine
 	hash    uint64
 	quota   bundle.Quota
 	share   share
@@ -41,7 +44,9 @@
 	asked, ordered int
 	// rounds is the number of times that the nodes were asked from the first on.
 	rounds int
-	order  [maxAsked]*member
+	// skipped is set if a node was left out because it did not answer before.
+	skipped bool
+	order   [maxAsked]*member
 	// inFlight is the sequence of the query that the next node in order waits
 	// for, 0 if there is none. attempts holds the unanswered queries.
 	inFlight uint64
@@ -127,6 +132,18 @@
 	w := d.waiting[0]
 	d.waiting[0] = nil
 	d.waiting = d.waiting[1:]
+	if w.relay != nil {
+		w.relay.decide(d.machine, decision)
+		return
+	}
+	switch stats := &d.machine.stats; {
+	case decision.Granted:
+		stats.Granted++
+	case decision.Unknown:
+		stats.Unknown++
+	default:
+		stats.Rejected++
+	}
 	w.Decided <- decision
 }
 
@@ -152,13 +169,10 @@
 }
 
 // expire decides the requests that have waited for waitLimit.
-func (d *demand) expire(now time.Duration) int {
-	n := 0
+func (d *demand) expire(now time.Duration) {
 	for len(d.waiting) > 0 && now-d.waiting[0].since >= waitLimit {
 		d.decideFirst(unknown)
-		n++
 	}
-	return n
 }
 
 // maxRounds bounds how often nodes are asked again while one does not answer.
@@ -170,12 +184,10 @@
 }
 
 // giveUp decides all waiting requests.
-func (d *demand) giveUp() int {
-	n := len(d.waiting)
+func (d *demand) giveUp() {
 	for len(d.waiting) > 0 {
 		d.decideFirst(unknown)
 	}
-	return n
 }
 
 var unknown = Decision{Unknown: true, RetryAfter: unknownRetryAfter}
--- a/internal/quota/machine.go
+++ b/internal/quota/machine.go
@@ -43,6 +43,8 @@
 	waiterID uint64
 	// timeouts holds the queries in the order in which they were sent.
 	timeouts []timeout
+	// finished holds relayed queries that can be answered.
+	finished []*relay
 	// nextAsked is the index of the node that was asked last for lost nodes.
 	nextAsked int
 	sends     []Send
@@ -96,30 +98,44 @@
 	if quota.RequestsPerSecond <= 0 {
 		return Decision{Granted: true}, nil, nil
 	}
+	d := m.demand(now, organisation, quota)
+	if len(d.waiting) == 0 {
+		if expires, ok := d.use(now); ok {
+			m.stats.Granted++
+			return Decision{Granted: true, Expires: expires}, nil, nil
+		}
+	}
+	w := &Waiter{Decided: make(chan Decision, 1), organisation: organisation}
+	m.sends = m.sends[:0]
+	m.wait(now, d, w)
+	return Decision{}, w, m.finish()
+}
+
+// demand returns the demand of this node for an organisation.
+func (m *Machine) demand(now time.Duration, organisation string, quota bundle.Quota) *demand {
 	d := m.demands[organisation]
 	if d == nil {
-		d = &demand{hash: orgHash(organisation)}
+		d = &demand{machine: m, hash: orgHash(organisation)}
 		m.demands[organisation] = d
 	}
 	if d.quota != quota {
 		d.quota, d.share = quota, m.owner.cfg.share(quota)
 	}
 	d.usedAt = now
-	if len(d.waiting) == 0 {
-		if expires, ok := d.use(now); ok {
-			m.stats.Granted++
-			return Decision{Granted: true, Expires: expires}, nil, nil
-		}
+	return d
+}
+
+// wait adds waiting requests and asks for them unless a query is under way.
+func (m *Machine) wait(now time.Duration, d *demand, waiters ...*Waiter) {
+	for _, w := range waiters {
+		m.waiterID++
+		w.id, w.since = m.waiterID, now
+		d.waiting = append(d.waiting, w)
 	}
-	m.waiterID++
-	w := &Waiter{Decided: make(chan Decision, 1), organisation: organisation, id: m.waiterID, since: now}
-	d.waiting = append(d.waiting, w)
-	m.sends = m.sends[:0]
 	if d.inFlight == 0 {
 		d.rounds = 0
-		m.begin(now, organisation, d)
+		m.begin(now, waiters[0].organisation, d)
 	}
-	return Decision{}, w, m.sends
 }
 
 // Abandon removes a request whose caller no longer waits. If it was decided in
@@ -136,15 +152,14 @@
 func (m *Machine) Return(now time.Duration, organisation string, decision Decision) {
 	if d := m.demands[organisation]; d != nil && decision.Granted {
 		d.keep(now, 1, decision.Expires, true)
-		before := len(d.waiting)
 		d.serve(now)
-		m.stats.Granted += uint64(before - len(d.waiting))
 	}
 }
 
 // begin asks the nodes of an organisation in order, beginning with the first.
 func (m *Machine) begin(now time.Duration, organisation string, d *demand) {
 	d.rounds++
+	d.skipped = false
 	d.asked, d.ordered = 0, m.members.order(d.hash, &d.order)
 	m.ask(now, organisation, d)
 }
@@ -152,22 +167,30 @@
 // ask asks the next node in order for all waiting requests.
 func (m *Machine) ask(now time.Duration, organisation string, d *demand) {
 	d.inFlight = 0
-	m.stats.Unknown += uint64(d.expire(now))
+	d.expire(now)
+	if d.asked > 0 {
+		d.dropRelayed()
+	}
 	for {
 		if len(d.waiting) == 0 {
 			return
 		}
 		if d.asked == d.ordered {
-			if d.unanswered(now) && d.rounds < maxRounds {
+			if (d.skipped || d.unanswered(now)) && d.rounds < maxRounds {
 				m.begin(now, organisation, d)
 				return
 			}
-			m.stats.Unknown += uint64(d.giveUp())
+			d.giveUp()
 			return
 		}
 		next, silent := d.order[d.asked], d.asked > 0
 		d.asked++
 		if next != nil {
+			if d.rounds == 1 && now < next.silentUntil {
+				d.skipped = true
+				d.dropRelayed()
+				continue
+			}
 			m.send(now, organisation, d, next, silent)
 			return
 		}
@@ -187,43 +210,55 @@
 	m.timeouts = append(m.timeouts, timeout{organisation, m.sequence, now + answerTimeout})
 	m.sends = append(m.sends, Send{Addr: to.addr, Query: &controlv1.QuotaQuery{
 		Sequence: m.sequence,
-		Requests: []*controlv1.QuotaRequest{{Organisation: organisation, Wanted: uint32(len(d.waiting)), OwnerSilent: silent}},
+		Requests: []*controlv1.QuotaRequest{{
+			Organisation: organisation, Wanted: uint32(len(d.waiting)), OwnerSilent: silent, Relayed: d.hasRelayed(),
+		}},
 	}})
 }
 
 // apply decides waiting requests up to last by an answer. The requests granted
 // to them expire at expires.
 func (m *Machine) apply(now time.Duration, d *demand, a answer, last uint64, expires time.Duration) {
-	before := len(d.waiting)
 	d.keep(now, a.granted, expires, true)
 	d.serve(now)
-	m.stats.Granted += uint64(before - len(d.waiting))
 	if a.retryAfter > 0 {
-		before = len(d.waiting)
 		d.reject(last, a.retryAfter)
-		m.stats.Rejected += uint64(before - len(d.waiting))
 	}
 }
 
-// Query answers a query of another node. from is its identifier.
-func (m *Machine) Query(now time.Duration, from fleet.NodeID, q *controlv1.QuotaQuery) *controlv1.QuotaAnswer {
+// Query handles a query of the node with the given identifier and address. It
+// returns the datagrams to send; the answer may follow later.
+func (m *Machine) Query(now time.Duration, from fleet.NodeID, addr string, q *controlv1.QuotaQuery) []Send {
+	m.sends = m.sends[:0]
 	out := &controlv1.QuotaAnswer{Sequence: q.GetSequence(), Grants: make([]*controlv1.QuotaGrant, 0, len(q.GetRequests()))}
 	if len(q.GetRequests()) == 0 {
 		m.members.answerLost(now, out)
-		return out
+		m.sends = append(m.sends, Send{Addr: addr, Answer: out})
+		return m.sends
 	}
 	m.stats.Answered++
 	by := query{node: nodeHash(from), sequence: q.GetSequence()}
 	for _, r := range q.GetRequests() {
-		organisation, wanted := r.GetOrganisation(), min(int(r.GetWanted()), maxWanted)
-		a := m.grant(now, organisation, wanted, r.GetOwnerSilent(), by)
+		wanted := min(int(r.GetWanted()), maxWanted)
+		a := m.grant(now, r.GetOrganisation(), wanted, r.GetOwnerSilent(), by)
+		if a.notOwner && r.GetOwnerSilent() && !r.GetRelayed() && m.relay(now, from, addr, q.GetSequence(), r, a.granted) {
+			continue
+		}
 		out.Grants = append(out.Grants, &controlv1.QuotaGrant{
-			Organisation: organisation,
+			Organisation: r.GetOrganisation(),
 			Granted:      uint32(a.granted + a.extra), ValidMs: uint32(prefetchValidity.Milliseconds()),
-			RetryAfterMs: uint32((a.retryAfter + time.Millisecond - 1).Milliseconds()), NotOwner: a.notOwner,
+			RetryAfterMs: milliseconds(a.retryAfter), NotOwner: a.notOwner,
 		})
 	}
-	return out
+	if len(out.Grants) > 0 {
+		m.sends = append(m.sends, Send{Addr: addr, Answer: out})
+	}
+	return m.finish()
+}
+
+// milliseconds rounds up, so that a time that is set stays set.
+func milliseconds(d time.Duration) uint32 {
+	return uint32((d + time.Millisecond - 1).Milliseconds())
 }
 
 // grant decides on requests as the owner or in its place.
@@ -248,7 +283,7 @@
 	for _, g := range a.GetGrants() {
 		m.granted(now, a.GetSequence(), g)
 	}
-	return m.sends
+	return m.finish()
 }
 
 func (m *Machine) granted(now time.Duration, sequence uint64, g *controlv1.QuotaGrant) {
@@ -294,10 +329,13 @@
 		t := m.timeouts[0]
 		m.timeouts = m.timeouts[1:]
 		if d := m.demands[t.organisation]; d != nil && d.inFlight == t.sequence {
+			if silent := d.order[d.asked-1]; silent != nil {
+				silent.silentUntil = now + silentSpan
+			}
 			m.ask(now, t.organisation, d)
 		}
 	}
-	return m.sends
+	return m.finish()
 }
 
 // sweepSize bounds the organisations that one call of Sweep looks at.
--- a/internal/quota/members.go
+++ b/internal/quota/members.go
@@ -23,6 +23,9 @@
 	// establishedAt is when the node begins to grant what it owns, and aliveAt
 	// when it counts towards the rate.
 	establishedAt, aliveAt time.Duration
+	// silentUntil is the time until which the node is not asked first, because it
+	// did not answer.
+	silentUntil time.Duration
 	// lostAt is when the node last stopped being usable or restarted.
 	lostAt time.Duration
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -32,6 +32,9 @@
 				Burst:             rapid.Float64Range(1, 500).Draw(t, "burst"),
 			}
 			s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 14).Draw(t, "nodes"), testConfig, quota)
+			if rapid.Bool().Draw(t, "unreachable") {
+				s.anyNode().unreachable = s.ranked("org")[0]
+			}
 			s.loss = rapid.SampledFrom([]float64{0, 0, 0.02, 0.3}).Draw(t, "loss")
 			s.delay = rapid.SampledFrom([]time.Duration{ms, 5 * ms, 80 * ms}).Draw(t, "delay")
 			hot := rapid.SampledFrom([]float64{0.6, 2, 8}).Draw(t, "demand")
@@ -164,6 +167,35 @@
 		Expect(float64(s.messages) / float64(len(s.granted["org"]))).To(BeNumerically("<", 0.2))
 	})
 
+	// Guards against a node that refuses all requests of an organisation because
+	// it alone does not reach the owner.
+	It("is granted at a node that reaches the owner only through others", func() {
+		s := settled(20, quota)
+		ranked := s.ranked("org")
+		ranked[5].unreachable, ranked[6].unreachable = ranked[0], ranked[0]
+		s.poisson("org", func() float64 { return 12 }, func() *simNode { return ranked[5+s.rnd.IntN(2)] })
+		s.runUntil(60 * time.Second)
+		Expect(len(s.granted["org"])).To(BeNumerically(">", 500))
+		Expect(refused(s)).To(BeZero())
+	})
+
+	// Guards against a lost datagram that keeps the only other node from being
+	// asked.
+	It("is granted if a datagram between two nodes is lost", func() {
+		s := settled(2, quota)
+		other := s.ranked("org")[1]
+		s.loss = 1
+		s.request(other, "org")
+		s.runUntil(s.now + 50*ms)
+		s.loss = 0
+		for range 10 {
+			s.runUntil(s.now + 100*ms)
+			s.request(other, "org")
+		}
+		s.runUntil(s.now + 500*ms)
+		Expect(refused(s)).To(BeZero())
+	})
+
 	// Guards against refusals after one node of many has failed.
 	It("is refused only until the next owner is known if the owner dies", func() {
 		s := settled(20, quota)
@@ -350,7 +382,7 @@
 func BenchmarkTakeGrantedInAdvance(b *testing.B) {
 	quota := bundle.Quota{RequestsPerSecond: 1000, Burst: 1000}
 	m := New("a", true, testConfig, func(string) (bundle.Quota, bool) { return quota, true }, 0)
-	d := &demand{hash: orgHash("org"), quota: quota, share: testConfig.share(quota)}
+	d := &demand{machine: m, hash: orgHash("org"), quota: quota, share: testConfig.share(quota)}
 	d.unused[0] = grant{n: 1 << 30, expires: time.Hour}
 	m.demands["org"] = d
 	b.ReportAllocs()
@@ -371,7 +403,7 @@
 	for b.Loop() {
 		s.now += ms
 		owner.Heard(s.now)
-		owner.Query(s.now, "n-1", q)
+		owner.Query(s.now, "n-1", "n-1", q)
 	}
 }
 
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -46,6 +46,9 @@
 	machine     *Machine // nil while the process is dead
 	incarnation uint64
 	group       int // nodes of different groups are cut off from each other
+	// unreachable is a node to and from which datagrams are lost, while others
+	// reach both.
+	unreachable *simNode
 	pending     []pendingRequest
 }
 
@@ -353,12 +356,12 @@
 }
 
 func (s *sim) deliver(from, to *simNode, m Send) {
-	if to.machine == nil || from.group != to.group {
+	if to.machine == nil || from.group != to.group || from.unreachable == to || to.unreachable == from {
 		return
 	}
 	to.machine.Heard(s.now)
 	if m.Query != nil {
-		s.send(to, []Send{{Addr: string(from.id), Answer: to.machine.Query(s.now, from.id, m.Query)}})
+		s.send(to, slices.Clone(to.machine.Query(s.now, from.id, string(from.id), m.Query)))
 		return
 	}
 	s.send(to, slices.Clone(to.machine.Answer(s.now, m.Answer)))
