Read the platform less often from nodes that are cut off

Each node that was cut off from everything read the platform once a second for as long. After the second read in vain the interval is now two seconds.

--- a/internal/freshness/machine.go
+++ b/internal/freshness/machine.go
@@ -22,9 +22,11 @@
 	// avoidPeer is how long a peer is avoided that did not answer or whose
 	// confirmation was old.
 	avoidPeer = 2 * time.Second
-	// readInterval is the time between two reads of the platform by this node,
-	// before jitter.
-	readInterval = time.Second
+	// readInterval is the time after the first read of the platform without a
+	// confirmation until the second, before jitter. maxReadInterval applies to
+	// further ones: while a node is cut off, only a few of them are of use.
+	readInterval    = time.Second
+	maxReadInterval = 2 * time.Second
 	// maxPlausibleAge bounds the ages in answers, so that a malformed one does
 	// not overflow.
 	maxPlausibleAge = 24 * time.Hour
@@ -86,6 +88,8 @@
 
 	nextRead time.Duration // 0 while no read is scheduled
 	lastRead time.Duration
+	// vainReads is the number of reads since the confirmation became too old.
+	vainReads int
 	stats    Stats
 }
 
@@ -256,7 +260,7 @@
 func (m *Machine) advance() {
 	m.expireQueries()
 	if !m.required {
-		m.nextRead, m.expired = 0, 0
+		m.nextRead, m.vainReads, m.expired = 0, 0, 0
 		return
 	}
 	m.ask()
@@ -372,14 +376,18 @@
 	}
 	switch {
 	case age < limit:
-		m.nextRead = 0
+		m.nextRead, m.vainReads = 0, 0
 	case m.nextRead == 0:
 		m.nextRead = m.now + time.Duration(m.random.Int64N(int64(m.part(readSpread))+1))
 		if m.stats.Reads > 0 {
 			m.nextRead = max(m.nextRead, m.lastRead+m.jitter(readInterval))
 		}
 	case m.now >= m.nextRead:
-		m.lastRead, m.nextRead = m.now, m.now+m.jitter(readInterval)
+		interval := readInterval
+		if m.vainReads++; m.vainReads > 1 {
+			interval = maxReadInterval
+		}
+		m.lastRead, m.nextRead = m.now, m.now+m.jitter(interval)
 		m.stats.Reads++
 		m.emit(ReadPlatform{})
 	}
