Let nodes lend each other retries of the fleet's budget

Cause: the bound on retries is split evenly, and a node with more failures than its part fails requests although other nodes have retries left.

Change: a request that finds its share empty waits up to 80 ms while its node asks others (BudgetQuery) for what is missing, down to thousandths of a retry. The lender counts it until a window after the loan's validity. There is no pool: donated retries that nobody needs would be lost to their donors for a window.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -88,10 +88,14 @@
 		}
 		decision := retry.Decision{Reason: retry.ReasonSidecarAttempts}
 		if s.sidecarAttempts < maxSidecarAttempts {
-			decision = retry.Decide(retry.Attempt{
+			attempt := retry.Attempt{
 				Number: attemptNumber, Max: req.class.Attempts, Idempotent: req.class.Idempotent, Streamed: req.stream != nil,
 				BudgetExempt: withoutBudget, Outcome: outcome, Remaining: time.Until(req.deadline),
-			}, budget, in.cfg.Clock())
+			}
+			decision = retry.Decide(attempt, budget, in.cfg.Clock())
+			if decision.Reason == retry.ReasonBudget && in.borrowRetry(ctx, req, budget) {
+				decision = retry.Decide(attempt, budget, in.cfg.Clock())
+			}
 		}
 		in.logAttempt(&s, reply, decision)
 		if reply.Outcome == fleet.Answered {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -77,6 +77,9 @@
 	// FleetRetryBudget is the retry budget of the whole fleet. The zero value
 	// selects a separate budget for each class on this node.
 	FleetRetryBudget FleetRetryBudget
+	// RetryLoans borrows retries of FleetRetryBudget from other nodes when this
+	// node's share is used up; nil if nodes do not lend.
+	RetryLoans RetryLoans
 	// KeyLease bounds for how long the API keys of a bundle are used. It has no
 	// effect on bundles that do not require keys.
 	KeyLease KeyLease
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -89,6 +89,19 @@
 
 func (s *scriptedRemote) Withdraw(context.Context, fleet.Node, fleet.Length, string) {}
 
+// scriptedLoans lends the same number of retries to each query.
+type scriptedLoans struct {
+	ingress *ingress.Ingress
+	lent    float64
+	wanted  []float64
+}
+
+func (l *scriptedLoans) Borrow(_ context.Context, service string, retries float64) bool {
+	l.wanted = append(l.wanted, retries)
+	l.ingress.AddRetryLoan(service, l.lent, time.Now().Add(time.Minute))
+	return l.lent > 0
+}
+
 // queueingRemote holds each call in a queue until it is withdrawn. Withdrawals
 // before the call has arrived are lost.
 type queueingRemote struct {
@@ -368,6 +381,24 @@
 		Expect(s.remote.finalFlags).To(Equal([]bool{true}))
 	})
 
+	// Guards against idempotent requests that fail although other nodes lend
+	// retries, and against requests that keep waiting when none does.
+	DescribeTable("repeats a failed request with a retry that another node lends", func(lent float64, status, calls int) {
+		loans := &scriptedLoans{lent: lent}
+		s := newTestIngressWith(func(c *ingress.Config) {
+			c.UncountedRefusals, c.FleetRetryBudget = true, ingress.FleetRetryBudget{Ratio: 0, Window: 10 * time.Second}
+			c.RetryLoans = loans
+		}, mayHaveRun("connection lost"), answered("ok"))
+		loans.ingress = s.in
+		Expect(s.send("GET", "/kits/1", "").Code).To(Equal(status))
+		Expect(s.remote.calls).To(HaveLen(calls))
+		Expect(loans.wanted[0]).To(Equal(1.0))
+	},
+		Entry("at once", 1.0, 200, 2),
+		Entry("in parts", 0.5, 200, 2),
+		Entry("not at all", 0.0, 504, 1),
+	)
+
 	// Guards against requests that are refused, or that use up their attempts
 	// and the retry budget, because the targets beside which they waited leave.
 	DescribeTable("lets a request wait again after the target beside which it waited has left", func(uncounted bool, replies ...func(*link.Call) *link.Reply) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -59,6 +59,8 @@
 	evidence *evidenceCollector
 	loads    *loadreport.Relay
 	traffic  datagramTraffic
+	// retryLoans is nil without a fleet retry budget.
+	retryLoans *retryLoans
 
 	bundle      *bundle.Bundle
 	nodes       map[fleet.NodeID]fleet.Node
@@ -185,6 +187,9 @@
 		}
 		return
 	}
+	if c.retryLoans.receive(from, d) {
+		return
+	}
 	c.stepMembers(membership.Packet{From: from, Message: d})
 }
 
@@ -236,6 +241,7 @@
 		c.sendLoads(due)
 	}
 	c.relayLoads()
+	c.retryLoans.tick()
 	c.joined.Store(c.members.Joined())
 	c.relay.Store(c.members.IsRelay())
 	if c.ticks%slowStepTicks == 0 {
@@ -319,6 +325,7 @@
 	c.stepRollout(rollout.NodeChanged{Node: n})
 	c.loads.NodeChanged(n)
 	c.traffic.nodeChanged(n, c.node.self.DataCentre)
+	c.retryLoans.nodesChanged()
 	if n.ID == c.node.self.ID {
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,8 +115,14 @@
 	if r := s.FleetRetryBudget; r != nil {
 		ingressConfig.FleetRetryBudget = ingress.FleetRetryBudget{Ratio: r.Ratio, Allowance: r.Allowance, Window: r.Window}
 	}
+	var loans *retryLoans
+	if s.FleetRetryBudget != nil {
+		loans = newRetryLoans(n, s.FleetRetryBudget.Window)
+		ingressConfig.RetryLoans = loans
+	}
 	n.ingress = ingress.New(ingressConfig)
 	n.control = newControl(n)
+	n.control.retryLoans = loans
 	n.sidecar.SetLeaving(n.control.targetSaysLeaving)
 	n.registerGauges()
 	return n, nil
@@ -271,6 +277,7 @@
 		})
 	}
 	n.control.traffic.register(n.metrics)
+	n.control.retryLoans.register(n.metrics)
 	for scope, traffic := range map[string]*link.Traffic{"own": &n.pool.Own, "other": &n.pool.Other} {
 		n.metrics.RegisterGauge(fmt.Sprintf("siskinvale_link_bytes{dataCentre=%q,direction=\"sent\"}", scope), func() float64 {
 			sent, _ := traffic.Bytes()
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -21,14 +21,17 @@
 	dutyLoads
 	dutyRecords
 	dutyHealth
-	duties = 4
+	dutyRetryLoans
+	duties = 5
 )
 
-var dutyNames = [duties]string{"membership", "loads", "records", "health"}
+var dutyNames = [duties]string{"membership", "loads", "records", "health", "retry-loans"}
 
 func dutyOf(d *controlv1.Datagram) duty {
 	e := d.GetEvidence()
 	switch {
+	case d.GetBudgetQuery() != nil || d.GetBudgetAnswer() != nil:
+		return dutyRetryLoans
 	case e == nil:
 		return dutyMembership
 	case len(e.GetLoads()) > 0:
--- a/internal/retry/borrower.go
+++ b/internal/retry/borrower.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -15,6 +16,12 @@
 	// lenderPause is how long a node that could not lend all that was wanted is
 	// not asked again for the same service.
 	lenderPause = time.Second
+	// demandWindow is the time over which the demand for loans is averaged.
+	demandWindow = time.Second
+	// advanceFraction is the fraction of the demand expected within a loan's
+	// validity that is borrowed in advance. A lender cannot use expired loans for
+	// a whole window, so few of them may expire.
+	advanceFraction = 0.25
 	// queriesPerSecond and queryBurst bound the queries of one node, so that a
 	// fleet whose budget is used up does not answer queries all the time.
 	queriesPerSecond, queryBurst = 15, 30
@@ -63,8 +70,11 @@
 
 // borrowing is what a Borrower knows about the loans of one service.
 type borrowing struct {
-	wanted      float64
 	pausedUntil map[fleet.NodeID]time.Time
+	// demand is the number of retries asked for in the last demandWindow, as a
+	// decaying sum of demandAt.
+	demand   float64
+	demandAt time.Time
 	// lender is the node that last lent all that was wanted.
 	lender fleet.NodeID
 }
@@ -84,16 +94,38 @@
 // answer sooner, and the others.
 func (b *Borrower) SetPeers(near, far []fleet.NodeID) { b.near, b.far = near, far }
 
-// Want states how many retries of a service requests are waiting for. It returns
-// the next query to be sent, if any.
+// Want returns the next query to be sent, if any, while requests wait for the
+// given number of retries of a service. The query is for those that are wanted
+// beyond the unanswered queries, and for some in advance if the demand is high.
 func (b *Borrower) Want(now time.Time, service string, retries float64) (q LoanQuery, ok bool) {
 	s := b.services[service]
 	if s == nil {
 		s = &borrowing{pausedUntil: make(map[fleet.NodeID]time.Time)}
 		b.services[service] = s
 	}
-	s.wanted = retries
-	return b.ask(now, service, s)
+	wanted := retries - b.outstanding(now, service)
+	b.tokens = min(b.tokens+queriesPerSecond*max(now.Sub(b.tokensAt).Seconds(), 0), queryBurst)
+	b.tokensAt = now
+	if wanted <= roundingError || b.tokens < 1 {
+		return LoanQuery{}, false
+	}
+	to, ok := b.choose(now, s)
+	if !ok {
+		return LoanQuery{}, false
+	}
+	b.tokens--
+	b.sequence++
+	q = LoanQuery{To: to, Sequence: b.sequence, Service: service, Wanted: wanted + s.advance(now, wanted, b.validity)}
+	b.queries[q.Sequence] = outstandingQuery{q, now}
+	return q, true
+}
+
+// advance adds wanted to the demand and returns how many retries to borrow in
+// advance.
+func (s *borrowing) advance(now time.Time, wanted float64, validity time.Duration) float64 {
+	s.demand = s.demand*math.Exp(-now.Sub(s.demandAt).Seconds()/demandWindow.Seconds()) + wanted
+	s.demandAt = now
+	return math.Floor(advanceFraction * s.demand * validity.Seconds() / demandWindow.Seconds())
 }
 
 // Answered returns the loan that a node granted in its answer to a query. ok is
@@ -136,26 +168,6 @@
 	return total
 }
 
-// ask queries a node for the retries that are wanted beyond those already asked
-// for.
-func (b *Borrower) ask(now time.Time, service string, s *borrowing) (q LoanQuery, ok bool) {
-	wanted := s.wanted - b.outstanding(now, service)
-	b.tokens = min(b.tokens+queriesPerSecond*max(now.Sub(b.tokensAt).Seconds(), 0), queryBurst)
-	b.tokensAt = now
-	if wanted <= roundingError || b.tokens < 1 {
-		return LoanQuery{}, false
-	}
-	to, ok := b.choose(now, s)
-	if !ok {
-		return LoanQuery{}, false
-	}
-	b.tokens--
-	b.sequence++
-	q = LoanQuery{To: to, Sequence: b.sequence, Service: service, Wanted: wanted}
-	b.queries[q.Sequence] = outstandingQuery{q, now}
-	return q, true
-}
-
 // choose returns the node that last lent all that was wanted or, failing that, a
 // random node, preferably a near one. ok is false if no node may have retries to
 // lend.
--- /dev/null
+++ b/internal/retry/loan_test.go
@@ -0,0 +1,360 @@
+package retry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/retry"
+)
+
+const loanWindow = 10 * time.Second
+
+// loanProcess is one process of a node with its share and what it has done.
+type loanProcess struct {
+	id             fleet.NodeID
+	share          *retry.FleetBudgetShare
+	borrower       *retry.Borrower
+	started, ended time.Time
+	allowance      float64 // the largest one
+	requests       []time.Time
+	failed         []time.Time // requests that wait for a retry
+}
+
+// loanMessage is a query, or an answer if granted is not negative.
+type loanMessage struct {
+	due      time.Time
+	from, to fleet.NodeID
+	query    retry.LoanQuery
+	granted  float64
+}
+
+// loanFleet runs the shares and borrowers of a fleet without a network.
+type loanFleet struct {
+	now       time.Time
+	ratio     float64
+	allowance float64 // of the whole fleet
+	running   []*loanProcess
+	processes []*loanProcess // including those that have ended
+	messages  []loanMessage
+	retries   []time.Time
+	queries   int
+	// patience is how long a failed request waits for a retry, and dropped counts
+	// those that waited in vain.
+	patience time.Duration
+	dropped  int
+	// copies returns the delay of each copy of a message that arrives.
+	copies func() []time.Duration
+}
+
+func (f *loanFleet) start(id fleet.NodeID, at time.Time) {
+	p := &loanProcess{
+		id: id, started: at, share: retry.NewFleetBudgetShare(f.ratio, 0, loanWindow, at),
+		borrower: retry.NewBorrower(loanWindow, uint64(len(f.processes))),
+	}
+	f.running, f.processes = append(f.running, p), append(f.processes, p)
+	f.shareAllowance()
+}
+
+func (f *loanFleet) stop(i int) {
+	f.running[i].ended = f.now
+	f.running = slices.Delete(f.running, i, i+1)
+}
+
+// shareAllowance divides the allowance among the running processes.
+func (f *loanFleet) shareAllowance() {
+	ids := make([]fleet.NodeID, len(f.running))
+	for i, p := range f.running {
+		ids[i] = p.id
+		part := f.allowance / float64(len(f.running))
+		p.share.SetAllowance(part)
+		p.allowance = max(p.allowance, part)
+	}
+	for i, p := range f.running {
+		p.borrower.SetPeers(slices.Concat(ids[:i], ids[i+1:]), nil)
+	}
+}
+
+func (f *loanFleet) send(m loanMessage) {
+	for _, delay := range f.copies() {
+		m.due = f.now.Add(delay)
+		f.messages = append(f.messages, m)
+	}
+}
+
+// request counts a request at a process. If it fails, it is retried as soon as
+// the share allows it.
+func (f *loanFleet) request(p *loanProcess, fails bool) {
+	p.share.Deposit(f.now)
+	p.requests = append(p.requests, f.now)
+	if fails {
+		p.failed = append(p.failed, f.now)
+		f.retry(p, true)
+	}
+}
+
+func (f *loanFleet) retry(p *loanProcess, borrow bool) {
+	for len(p.failed) > 0 && f.now.Sub(p.failed[0]) > f.patience {
+		p.failed = p.failed[1:]
+		f.dropped++
+	}
+	for len(p.failed) > 0 && p.share.Withdraw(f.now) {
+		p.failed = p.failed[1:]
+		f.retries = append(f.retries, f.now)
+	}
+	if len(p.failed) == 0 || !borrow {
+		return
+	}
+	if q, ok := p.borrower.Want(f.now, "booking", p.share.Missing(f.now, float64(len(p.failed)))); ok {
+		f.queries++
+		f.send(loanMessage{from: p.id, to: q.To, query: q, granted: -1})
+	}
+}
+
+// deliver passes on the messages that are due, including answers that are due at
+// once.
+func (f *loanFleet) deliver() {
+	for {
+		i := slices.IndexFunc(f.messages, func(m loanMessage) bool { return !m.due.After(f.now) })
+		if i < 0 {
+			return
+		}
+		m := f.messages[i]
+		f.messages = slices.Delete(f.messages, i, i+1)
+		at := slices.IndexFunc(f.running, func(p *loanProcess) bool { return p.id == m.to })
+		if at < 0 {
+			continue
+		}
+		p := f.running[at]
+		if m.granted < 0 {
+			f.send(loanMessage{from: p.id, to: m.from, query: m.query, granted: p.share.Lend(f.now, m.query.Wanted)})
+			continue
+		}
+		if loan, ok := p.borrower.Answered(f.now, m.from, m.query.Sequence, m.granted); ok {
+			p.share.AddLoan(loan.Retries, loan.Until)
+		}
+		f.retry(p, true)
+	}
+}
+
+// limit is the number of retries that the shares of all processes guarantee for
+// the window from first to last. A share may use requests of the preceding
+// window, and it may have lent retries before the window.
+func (f *loanFleet) limit(first, last time.Time) float64 {
+	total := 0.0
+	validity := retry.LoanValidity(loanWindow)
+	for _, p := range f.processes {
+		if !p.ended.IsZero() && p.ended.Add(validity).Before(first) || p.started.After(last) {
+			continue
+		}
+		until := last
+		if !p.ended.IsZero() && p.ended.Before(last) {
+			until = p.ended
+		}
+		total += p.allowance * min(until.Sub(p.started).Seconds()/loanWindow.Seconds(), 1)
+		for _, at := range p.requests {
+			if !at.Before(first.Add(-loanWindow-validity)) && !at.After(last) {
+				total += f.ratio
+			}
+		}
+	}
+	return total
+}
+
+var _ = Describe("Loans of retries", func() {
+	// Guards against retries that exceed the fleet's budget in any sliding window
+	// because they were lent: requests fail at some nodes, messages are lost,
+	// late by more than a loan's validity or doubled, and nodes join, restart
+	// and end while they lend and borrow.
+	It("keep all nodes together within the parts of the even split", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			f := &loanFleet{
+				now:       start,
+				patience:  loanWindow,
+				ratio:     rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "ratio"),
+				allowance: rapid.Float64Range(1, 30).Draw(t, "allowance"),
+			}
+			f.copies = func() []time.Duration {
+				delay := func() time.Duration {
+					return time.Duration(rapid.SampledFrom([]int{0, 1, 10, 300, 900, 2500, 9000}).Draw(t, "delay")) * time.Millisecond
+				}
+				switch rapid.IntRange(0, 9).Draw(t, "copies") {
+				case 0:
+					return nil
+				case 1:
+					return []time.Duration{delay(), delay()}
+				default:
+					return []time.Duration{delay()}
+				}
+			}
+			for i := range rapid.IntRange(2, 6).Draw(t, "nodes") {
+				f.start(fleet.NodeID(fmt.Sprint("node-", i)), start.Add(-loanWindow))
+			}
+			for step := range rapid.IntRange(20, 150).Draw(t, "steps") {
+				f.now = f.now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 20, 200, 700}).Draw(t, "ms")) * time.Millisecond)
+				f.deliver()
+				i := rapid.IntRange(0, len(f.running)-1).Draw(t, "node")
+				switch rapid.IntRange(0, 19).Draw(t, "event") {
+				case 0:
+					f.start(fleet.NodeID(fmt.Sprint("joined-", step)), f.now)
+				case 1:
+					if len(f.running) > 2 {
+						f.stop(i)
+						f.shareAllowance()
+					}
+				case 2:
+					id := f.running[i].id
+					f.stop(i)
+					f.start(id, f.now)
+				case 3, 4, 5, 6, 7:
+					f.request(f.running[i], false)
+				default:
+					f.request(f.running[0], true) // failures are concentrated
+				}
+			}
+			for i, first := range f.retries {
+				for j, last := range f.retries[i:] {
+					if last.Sub(first) > loanWindow-loanWindow/20 {
+						break
+					}
+					if limit := f.limit(first, last); float64(j+1) > limit+1e-6 {
+						t.Fatalf("%d retries from %v to %v, at most %.3f are allowed", j+1, first.Sub(start), last.Sub(start), limit)
+					}
+				}
+			}
+		})
+	})
+
+	// Guards against failed requests that are not repeated although the fleet's
+	// budget is hardly used, because their callers are connected to a few nodes:
+	// 60 failures a second at 5 of 95 nodes, with 4 other requests a second at
+	// each node and a millisecond between nodes.
+	It("repeat the failures of a few nodes with the budget of the others", func() {
+		repeated := func(borrow bool) (share float64, f *loanFleet) {
+			f = concentratedFailures(borrow)
+			return float64(len(f.retries)) / float64(len(f.retries)+f.dropped), f
+		}
+		even, _ := repeated(false)
+		lent, f := repeated(true)
+		GinkgoWriter.Printf("repeated: %.3f with an even split, %.3f with loans, %d queries in 10 s\n", even, lent, f.queries)
+		Expect(even).To(BeNumerically("<", 0.3))
+		Expect(lent).To(BeNumerically(">", 0.9))
+		Expect(f.queries).To(BeNumerically("<", 5*10*30), "the queries of a node are limited")
+	})
+
+	// Guards against messages while no request fails, and against nodes that
+	// ask the whole fleet for each retry while its budget is used up.
+	It("ask other nodes only for missing retries and pause those without any", func() {
+		b := retry.NewBorrower(loanWindow, 1)
+		b.SetPeers([]fleet.NodeID{"a", "b"}, []fleet.NodeID{"c"})
+		_, ok := b.Want(start, "booking", 0)
+		Expect(ok).To(BeFalse())
+		var asked []fleet.NodeID
+		for {
+			q, ok := b.Want(start, "booking", 0.5)
+			if !ok {
+				break
+			}
+			_, again := b.Want(start, "booking", 0.5)
+			Expect(again).To(BeFalse(), "requests share a query")
+			asked = append(asked, q.To)
+			_, usable := b.Answered(start, q.To, q.Sequence, 0)
+			Expect(usable).To(BeFalse())
+		}
+		Expect(asked).To(ConsistOf(fleet.NodeID("a"), fleet.NodeID("b"), fleet.NodeID("c")))
+		Expect(asked[2]).To(Equal(fleet.NodeID("c")), "nodes of the own region are asked first")
+		Expect(b.Asking(start, "booking")).To(BeFalse())
+		q, ok := b.Want(start.Add(2*time.Second), "booking", 0.5)
+		Expect(ok).To(BeTrue())
+		_, usable := b.Answered(start.Add(2*time.Second), "c", q.Sequence, 0.5)
+		Expect(usable).To(BeFalse(), "only the node that was asked can lend")
+	})
+
+	// Guards against borrowed retries that are used after their lender has
+	// stopped counting them, and against parts of retries that stay unused.
+	It("combine with the rest of the node's own share until they expire", func() {
+		lender := retry.NewFleetBudgetShare(0, 1.6, loanWindow, start.Add(-loanWindow))
+		s := retry.NewFleetBudgetShare(0, 0.5, loanWindow, start.Add(-loanWindow))
+		validity := retry.LoanValidity(loanWindow)
+		missing := s.Missing(start, 1)
+		Expect(missing).To(BeNumerically("~", 0.5))
+		n := lender.Lend(start, missing)
+		Expect(n).To(Equal(missing))
+		s.AddLoan(n, start.Add(validity))
+		Expect(s.Available(start.Add(validity - 1))).To(BeTrue())
+		Expect(s.Available(start.Add(validity))).To(BeFalse())
+		Expect(s.ExpiredLoans(start.Add(validity))).To(Equal(n))
+		Expect(lender.Lend(start.Add(loanWindow), 2)).To(BeNumerically("~", 1.1), "the loan counts a window beyond its validity")
+		Expect(lender.Lend(start.Add(loanWindow+2*validity), 2)).To(BeNumerically("~", 0.5))
+	})
+})
+
+// concentratedFailures runs a fleet of 95 nodes for 10 s in which only requests
+// at 5 of them fail.
+func concentratedFailures(borrow bool) *loanFleet {
+	const nodes, nodesWithFailures, step = 95, 5, 5 * time.Millisecond
+	random := rand.New(rand.NewPCG(1, 1))
+	f := &loanFleet{now: start, ratio: 0.17, allowance: 50, patience: 80 * time.Millisecond}
+	f.copies = func() []time.Duration {
+		if !borrow {
+			return nil
+		}
+		return []time.Duration{time.Millisecond}
+	}
+	for i := range nodes {
+		f.start(fleet.NodeID(fmt.Sprint("node-", i)), start.Add(-loanWindow))
+	}
+	for i := range 2 * loanWindow / step {
+		f.now = f.now.Add(step)
+		f.deliver()
+		for _, p := range f.running {
+			if random.Float64() < 4*step.Seconds() {
+				f.request(p, false)
+			}
+		}
+		if i >= loanWindow/step && random.Float64() < 60*step.Seconds() {
+			f.request(f.running[random.IntN(nodesWithFailures)], true)
+		}
+		for _, p := range f.running[:nodesWithFailures] {
+			f.retry(p, borrow)
+		}
+	}
+	return f
+}
+
+// A loan is taken for a failed request at a node that has used up its share, so
+// both sides together must cost little beside the request.
+func BenchmarkLoan(b *testing.B) {
+	lender := retry.NewFleetBudgetShare(0, 1e12, loanWindow, start.Add(-loanWindow))
+	share := retry.NewFleetBudgetShare(0, 0, loanWindow, start.Add(-loanWindow))
+	borrower := retry.NewBorrower(loanWindow, 1)
+	peers := make([]fleet.NodeID, 3300)
+	for i := range peers {
+		peers[i] = fleet.NodeID(fmt.Sprint("node-", i))
+	}
+	borrower.SetPeers(peers, nil)
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Second)
+		q, ok := borrower.Want(now, "booking", share.Missing(now, 1))
+		if !ok {
+			b.Fatal("no query")
+		}
+		l, ok := borrower.Answered(now, q.To, q.Sequence, lender.Lend(now, q.Wanted))
+		if !ok {
+			b.Fatal("no loan")
+		}
+		share.AddLoan(l.Retries, l.Until)
+		if !share.Withdraw(now) {
+			b.Fatal("no retry")
+		}
+	}
+}
