Ask near nodes for loans first and stop after refusals in a row

Cause: while the fleet's budget of a service was used up, nodes asked all others again each second.

Change: nodes of the own data centre are asked before those of the region and the others. After 8 refusals in a row, a node asks for a service once each half second until it gets a loan.

--- a/internal/node/budget.go
+++ b/internal/node/budget.go
@@ -118,15 +118,18 @@
 		return
 	}
 	l.peersStale = false
-	var near, far []fleet.NodeID
+	var centre, region, others []fleet.NodeID
 	for _, n := range l.node.control.usablePeers() {
-		if n.Region == l.node.self.Region {
-			near = append(near, n.ID)
-		} else {
-			far = append(far, n.ID)
+		switch self := l.node.self; {
+		case n.DataCentre == self.DataCentre:
+			centre = append(centre, n.ID)
+		case n.Region == self.Region:
+			region = append(region, n.ID)
+		default:
+			others = append(others, n.ID)
 		}
 	}
-	l.borrower.SetPeers(near, far)
+	l.borrower.SetPeers(centre, region, others)
 }
 
 // receive handles a datagram that concerns loans. It reports false for others.
--- a/internal/retry/borrower.go
+++ b/internal/retry/borrower.go
@@ -22,6 +22,10 @@
 	// validity that is borrowed in advance. A lender cannot use expired loans for
 	// a whole window, so few of them may expire.
 	advanceFraction = 0.25
+	// After maxRefusals refusals in a row, no node is asked for refusalPause: the
+	// fleet's budget is probably used up.
+	maxRefusals  = 8
+	refusalPause = 500 * time.Millisecond
 	// queriesPerSecond and queryBurst bound the queries of one node, so that a
 	// fleet whose budget is used up does not answer queries all the time.
 	queriesPerSecond, queryBurst = 15, 30
@@ -54,10 +58,9 @@
 	validity time.Duration
 	random   *rand.Rand
 	sequence uint64
-	// near holds the nodes of the own region, far the others.
-	near, far []fleet.NodeID
-	queries   map[uint64]outstandingQuery
-	services  map[string]*borrowing
+	peers    [][]fleet.NodeID // nearest group first
+	queries  map[uint64]outstandingQuery
+	services map[string]*borrowing
 	// tokens is the number of queries that may be sent at tokensAt.
 	tokens   float64
 	tokensAt time.Time
@@ -75,6 +78,9 @@
 	// decaying sum of demandAt.
 	demand   float64
 	demandAt time.Time
+	// refusals is the number of refusals in a row, the last one at refusedAt.
+	refusals  int
+	refusedAt time.Time
 	// lender is the node that last lent all that was wanted.
 	lender fleet.NodeID
 }
@@ -90,9 +96,9 @@
 	}
 }
 
-// SetPeers replaces the nodes that may be asked: those of the own region, which
-// answer sooner, and the others.
-func (b *Borrower) SetPeers(near, far []fleet.NodeID) { b.near, b.far = near, far }
+// SetPeers replaces the nodes that may be asked, in groups of which the first is
+// the nearest.
+func (b *Borrower) SetPeers(groups ...[]fleet.NodeID) { b.peers = groups }
 
 // Want returns the next query to be sent, if any, while requests wait for the
 // given number of retries of a service. The query is for those that are wanted
@@ -106,7 +112,7 @@
 	wanted := retries - b.outstanding(now, service)
 	b.tokens = min(b.tokens+queriesPerSecond*max(now.Sub(b.tokensAt).Seconds(), 0), queryBurst)
 	b.tokensAt = now
-	if wanted <= roundingError || b.tokens < 1 {
+	if wanted <= roundingError || b.tokens < 1 || s.refusals >= maxRefusals && now.Sub(s.refusedAt) < refusalPause {
 		return LoanQuery{}, false
 	}
 	to, ok := b.choose(now, s)
@@ -137,6 +143,12 @@
 	}
 	delete(b.queries, sequence)
 	s := b.services[q.Service]
+	if granted > 0 {
+		s.refusals = 0
+	} else {
+		s.refusals++
+		s.refusedAt = now
+	}
 	if granted+roundingError < q.Wanted {
 		s.pausedUntil[from] = now.Add(lenderPause)
 	} else {
@@ -168,8 +180,8 @@
 	return total
 }
 
-// choose returns the node that last lent all that was wanted or, failing that, a
-// random node, preferably a near one. ok is false if no node may have retries to
+// choose returns the node that last lent all that was wanted, if no nearer node
+// may have retries, or else a random node of the nearest group with such nodes. ok is false if no node may have retries to
 // lend.
 func (b *Borrower) choose(now time.Time, s *borrowing) (id fleet.NodeID, ok bool) {
 	for id, until := range s.pausedUntil {
@@ -177,7 +189,7 @@
 			delete(s.pausedUntil, id)
 		}
 	}
-	for _, peers := range [][]fleet.NodeID{b.near, b.far} {
+	for _, peers := range b.peers {
 		if _, paused := s.pausedUntil[s.lender]; !paused && slices.Contains(peers, s.lender) {
 			return s.lender, true
 		}
--- a/internal/retry/loan_test.go
+++ b/internal/retry/loan_test.go
@@ -78,7 +78,7 @@
 		p.allowance = max(p.allowance, part)
 	}
 	for i, p := range f.running {
-		p.borrower.SetPeers(slices.Concat(ids[:i], ids[i+1:]), nil)
+		p.borrower.SetPeers(slices.Concat(ids[:i], ids[i+1:]))
 	}
 }
 
@@ -273,6 +273,26 @@
 		Expect(asked).To(ConsistOf(fleet.NodeID("a"), fleet.NodeID("b"), fleet.NodeID("c")))
 		Expect(asked[2]).To(Equal(fleet.NodeID("c")), "nodes of the own region are asked first")
 		Expect(b.Asking(start, "booking")).To(BeFalse())
+
+		many := make([]fleet.NodeID, 50)
+		for i := range many {
+			many[i] = fleet.NodeID(fmt.Sprint("node-", i))
+		}
+		b.SetPeers(many)
+		refusals := 0
+		for ms := range 1000 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			for {
+				q, ok := b.Want(now, "catalog", 0.5)
+				if !ok {
+					break
+				}
+				b.Answered(now, q.To, q.Sequence, 0)
+				refusals++
+			}
+		}
+		Expect(refusals).To(BeNumerically("<=", 10), "8 refusals in a row end the search, then one query each half second")
+		b.SetPeers([]fleet.NodeID{"a", "b"}, []fleet.NodeID{"c"})
 		q, ok := b.Want(start.Add(2*time.Second), "booking", 0.5)
 		Expect(ok).To(BeTrue())
 		_, usable := b.Answered(start.Add(2*time.Second), "c", q.Sequence, 0.5)
@@ -285,7 +305,7 @@
 		validity := retry.LoanValidity(loanWindow)
 		for _, delay := range []time.Duration{0, time.Millisecond, validity / 2, validity - 1, validity, time.Minute} {
 			b := retry.NewBorrower(loanWindow, 1)
-			b.SetPeers([]fleet.NodeID{"a"}, nil)
+			b.SetPeers([]fleet.NodeID{"a"})
 			q, ok := b.Want(start, "booking", 1)
 			Expect(ok).To(BeTrue())
 			loan, ok := b.Answered(start.Add(delay), "a", q.Sequence, 1)
@@ -360,7 +380,7 @@
 	for i := range peers {
 		peers[i] = fleet.NodeID(fmt.Sprint("node-", i))
 	}
-	borrower.SetPeers(peers, nil)
+	borrower.SetPeers(peers)
 	now := start
 	b.ReportAllocs()
 	for b.Loop() {
