--- a/internal/retry/borrower.go
+++ b/internal/retry/borrower.go
@@ -184,9 +184,9 @@
 	return total
 }
 
-// choose returns the node that last lent all that was wanted, if no nearer node
-// may have retries, or else a random node of the nearest group with such nodes. ok is false if no node may have retries to
-// lend.
+// choose returns a node of the nearest group in which a node may have retries to
+// lend: the one that last lent all that was wanted, or else a random one. ok is
+// false if there is no such group.
 func (b *Borrower) choose(now time.Time, s *borrowing) (id fleet.NodeID, ok bool) {
 	for id, until := range s.pausedUntil {
 		if !now.Before(until) {
