Run the functions that other parts queue in the test of loans

Cause: the test took one function from the control inbox and expected it to be its own; the rollout also queues the result of a fetch.

Change: the test runs queued functions until the state that it waits for is reached; what it checks is unchanged.

--- a/internal/node/budget_test.go
+++ b/internal/node/budget_test.go
@@ -23,6 +23,21 @@
 		nodes, _ := testRecords(1)
 		nodes[0].PeerAddr = peer.LocalAddr().String()
 		c.merge(nodes, nil)
+		// runUntil takes the place of the control goroutine until done returns true.
+		// Other parts of the node also queue functions.
+		runUntil := func(done func() bool) {
+			Eventually(func() bool {
+				select {
+				case f := <-c.inbox:
+					f()
+				default:
+				}
+				return done()
+			}, "5s", "1ms").Should(BeTrue())
+		}
+		waiting := func(n int) func() bool {
+			return func() bool { return len(c.retryLoans.waiting["hints"]) == n }
+		}
 		borrow := func(wait time.Duration) (result chan bool) {
 			result = make(chan bool, 1)
 			go func() {
@@ -30,7 +45,6 @@
 				defer cancel()
 				result <- c.retryLoans.Borrow(ctx, "hints", 0.4)
 			}()
-			(<-c.inbox)()
 			return result
 		}
 		answer := func(q *controlv1.BudgetQuery, granted uint32) {
@@ -40,6 +54,7 @@
 		}
 
 		result := borrow(time.Minute)
+		runUntil(waiting(1))
 		query := readDatagram(c, peer, time.Second).GetBudgetQuery()
 		Expect(query.GetWantedMilli()).To(Equal(uint32(400)))
 		answer(query, 400)
@@ -49,13 +64,15 @@
 		Expect(c.retryLoans.borrowedMilli.Load()).To(Equal(uint64(400)), "an answer counts once")
 
 		result = borrow(10 * time.Millisecond)
+		runUntil(waiting(1))
 		query = readDatagram(c, peer, time.Second).GetBudgetQuery()
 		Expect(<-result).To(BeFalse())
-		(<-c.inbox)()
-		Expect(c.retryLoans.waiting["hints"]).To(BeEmpty())
+		runUntil(waiting(0))
 		answer(query, 0)
 
-		Expect(<-borrow(time.Minute)).To(BeFalse(), "the only other node has nothing to lend")
+		result = borrow(time.Minute)
+		runUntil(func() bool { return len(result) == 1 })
+		Expect(<-result).To(BeFalse(), "the only other node has nothing to lend")
 
 		c.receive(peer.LocalAddr().String(), &controlv1.Datagram{From: "node-1", Body: &controlv1.Datagram_BudgetQuery{BudgetQuery: &controlv1.BudgetQuery{
 			Sequence: 7, Service: "hints", WantedMilli: 500,
