--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -80,6 +80,9 @@
 	// FleetRetryBudget is the retry budget of the whole fleet. The zero value
 	// selects a separate budget for each class on this node.
 	FleetRetryBudget FleetRetryBudget
+	// RetryLoans borrows retries of FleetRetryBudget from other nodes when this
+	// node's share is used up; nil if nodes do not lend.
+	RetryLoans RetryLoans
 	// KeyLease bounds for how long the API keys of a bundle are used. It has no
 	// effect on bundles that do not require keys.
 	KeyLease KeyLease
@@ -105,7 +108,10 @@
 	// the average number of calls that one run of the service makes, by called
 	// service.
 	callsPerRun sync.Map
-	protocol    callerProtocol
+	// loanRefusals maps a service to the time at which other nodes last lent too
+	// few retries for it.
+	loanRefusals sync.Map
+	protocol     callerProtocol
 	// firstBundle is closed when the first view with a bundle is set.
 	firstBundle     chan struct{}
 	firstBundleOnce sync.Once
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -64,6 +64,8 @@
 	loads    *loadreport.Relay
 	traffic  datagramTraffic
 	keyLease keyLease
+	// retryLoans is nil without a fleet retry budget.
+	retryLoans *retryLoans
 
 	bundle      *bundle.Bundle
 	nodes       map[fleet.NodeID]fleet.Node
@@ -199,6 +201,9 @@
 		}
 		return
 	}
+	if c.retryLoans.receive(from, d) {
+		return
+	}
 	c.stepMembers(membership.Packet{From: from, Message: d})
 }
 
@@ -252,6 +257,7 @@
 		c.sendLoads(due)
 	}
 	c.relayLoads()
+	c.retryLoans.tick()
 	c.joined.Store(c.members.Joined())
 	c.relay.Store(c.members.IsRelay())
 	c.node.quotas.tick()
@@ -341,6 +347,7 @@
 	c.loads.NodeChanged(n)
 	c.traffic.nodeChanged(n, c.node.self.DataCentre)
 	c.node.quotas.nodeChanged(n)
+	c.retryLoans.nodesChanged()
 	if n.ID == c.node.self.ID {
 		return
 	}
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -23,16 +23,19 @@
 	dutyHealth
 	dutyKeyLease
 	dutyQuotas
-	duties = 6
+	dutyRetryLoans
+	duties = 7
 )
 
-var dutyNames = [duties]string{"membership", "loads", "records", "health", "key-lease", "quotas"}
+var dutyNames = [duties]string{"membership", "loads", "records", "health", "key-lease", "quotas", "retry-loans"}
 
 func dutyOf(d *controlv1.Datagram) duty {
 	e := d.GetEvidence()
 	switch {
 	case d.GetConfirmationQuery() != nil, d.GetConfirmationAnswer() != nil:
 		return dutyKeyLease
+	case d.GetBudgetQuery() != nil || d.GetBudgetAnswer() != nil:
+		return dutyRetryLoans
 	case e == nil:
 		return dutyMembership
 	case len(e.GetLoads()) > 0:
