Send second copies of slow requests within a limit

Cause: a request that may be repeated stayed at a hung or slow target until its attempt timed out, although other targets had free slots.

Change: internal/hedge keeps a rotated histogram of run times per class and a limit of copies per service; the ingress sends a no-wait copy to another target after the quantile at which the limit would be used up, pays one retry of the fleet's budget, counts the copy as an attempt and returns the first success. Off unless hedging.ratio is set.

Specs of ingress (with the race detector), hedge, event, config, routing pass.

--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -26,5 +26,8 @@
 	ClassOriginLearned = declare(5208, "class-origin-learned", logrus.InfoLevel, "the node has determined whether the requests of a class are calls of local targets")
 	CallRefused        = declare(5203, "call-refused", logrus.InfoLevel, "a sidecar refused a call; the call was not run")
 	QuotaRejected      = declare(5209, "quota-rejected", logrus.InfoLevel, "a request was rejected because of its organisation's quota")
+	HedgeSent          = declare(5220, "hedge-sent", logrus.InfoLevel, "a second copy of a slow request was sent to another target")
+	HedgeWithheld      = declare(5221, "hedge-withheld", logrus.DebugLevel, "a second copy of a slow request was due but not sent")
+	HedgeEnded         = declare(5222, "hedge-ended", logrus.InfoLevel, "a second copy of a slow request ended")
 	CallFailed         = declare(5204, "call-failed", logrus.InfoLevel, "a call failed at the target")
 )
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -1,11 +1,8 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"slices"
-	"sync"
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/bundle"
@@ -30,14 +27,6 @@
 	// that a pause of the VM does not count as a failure.
 	probationTimeoutFactor = 5
 	minProbationTimeout    = 100 * time.Millisecond
-	// maxPrefetchBytes is the size of the largest answer that is read
-	// completely before its first byte is sent, so that a truncated answer can
-	// be retried.
-	maxPrefetchBytes = 64 << 10
-	// maxFrontEndPrefetchBytes replaces maxPrefetchBytes for requests decoded
-	// by a FrontEnd. Their answers are never slow streams, even without a
-	// stated length.
-	maxFrontEndPrefetchBytes = 1 << 20
 	// maxSidecarAttempts bounds the sidecar attempts of one request, including
 	// those that are refused.
 	maxSidecarAttempts = 8
@@ -64,24 +53,17 @@
 	}
 	ownBudget := in.budgets.forClass(req.service, req.class.Name)
 	ownBudget.Deposit(in.cfg.Clock())
+	in.countForHedging(req)
 	in.classifyOrigin(req, ownBudget)
 	budget := in.retryBudget(req)
 	s := attemptSeries{req: req, budget: budget}
 	var failedAnswer *link.Reply // a target's own answer with a failure status
 	for {
 		reply := in.sendAttempt(ctx, &s)
-		if reply.Outcome == fleet.Answered && !(req.class.Idempotent && fleet.FailedStatus(reply.Status)) {
+		if req.succeeded(reply) {
 			return reply
 		}
-		outcome := reply.Outcome
-		if outcome == fleet.Answered {
-			outcome = fleet.Unknown
-		}
-		s.mayHaveRun = s.mayHaveRun || outcome == fleet.Unknown
-		if outcome == fleet.Unknown || reply.Dispatched {
-			s.dispatched++
-			s.retryPaid = false
-		}
+		outcome := s.countFailure(reply)
 		attemptNumber, withoutBudget := s.dispatched, s.dispatched == 0 || s.retryPaid
 		if !in.cfg.UncountedRefusals {
 			attemptNumber, withoutBudget = s.sidecarAttempts-s.withdrawals, !reply.Sent || reply.Withdrawn
@@ -139,8 +121,23 @@
 	retryPaid bool
 }
 
+// countFailure counts a failed attempt as dispatched if it may have reached a
+// target, and returns its outcome. An answer with a failure status is unknown.
+func (s *attemptSeries) countFailure(reply *link.Reply) fleet.Outcome {
+	outcome := reply.Outcome
+	if outcome == fleet.Answered {
+		outcome = fleet.Unknown
+	}
+	s.mayHaveRun = s.mayHaveRun || outcome == fleet.Unknown
+	if outcome == fleet.Unknown || reply.Dispatched {
+		s.dispatched++
+		s.retryPaid = false
+	}
+	return outcome
+}
+
 // excludedTargets returns the targets that are not asked again. A call that may
-// wait can go to a target that refused an earlier no-wait call. Otherwise the
+// wait, or a copy, can go to a target that refused an earlier no-wait call. Otherwise the
 // no-wait calls would use up the few targets of a small service, and the
 // request would be refused although it could wait for a slot.
 func (s *attemptSeries) excludedTargets(noWait bool) []fleet.TargetID {
@@ -174,13 +171,6 @@
 	return reply
 }
 
-// isBuffered reports whether the complete answer is in memory and can therefore
-// still be returned after a further attempt.
-func isBuffered(reply *link.Reply) bool {
-	_, ok := reply.Body.(*bufferedBody)
-	return ok
-}
-
 // logAttempt logs an attempt that did not produce the final answer.
 func (in *Ingress) logAttempt(s *attemptSeries, reply *link.Reply, decision retry.Decision) {
 	fields := event.Fields{
@@ -188,7 +178,9 @@
 		"outcome": reply.Outcome.String(), "dispatched": s.dispatched, "retry": decision.Retry, "decision": decision.Reason,
 		"reason": reply.Reason, "left_ms": time.Until(s.req.deadline).Milliseconds(),
 	}
-	if n := len(s.tried); n > 0 {
+	if reply.Target != "" {
+		fields["target"] = reply.Target
+	} else if n := len(s.tried); n > 0 {
 		fields["target"] = s.tried[n-1]
 	}
 	if reply.Outcome == fleet.Answered {
@@ -197,31 +189,60 @@
 	in.cfg.Log.Log(event.AttemptEnded, fields)
 }
 
-// sendAttempt chooses a target and sends the request to it once.
+// attempt is one attempt that is about to be sent.
+type attempt struct {
+	call     *link.Call
+	endpoint *routing.Endpoint
+	target   fleet.Target
+	view     *View
+	timeout  time.Duration
+	startsAt time.Time
+	endedAt  time.Time // set by run
+}
+
+// sendAttempt chooses a target and sends the request to it once. If the target
+// is slow, a second copy may be sent to another one.
 func (in *Ingress) sendAttempt(ctx context.Context, s *attemptSeries) *link.Reply {
-	now, req := in.cfg.Clock(), s.req
 	s.sidecarAttempts++
 	if ctx.Err() != nil {
-		return link.Refused(req.call(now), "the caller has gone or its time is over")
+		return link.Refused(s.req.call(in.cfg.Clock()), "the caller has gone or its time is over")
+	}
+	noWait := in.cfg.UncountedRefusals && (s.sidecarAttempts <= maxNoWaitAttempts || s.waited)
+	a, refused := in.newAttempt(s, noWait, nil)
+	if refused != nil {
+		return refused
 	}
+	if timing, ok := in.copyTiming(s, a); ok {
+		return in.sendHedged(ctx, s, a, timing)
+	}
+	reply := in.run(ctx, s.req, a)
+	in.recordReply(s, a, reply)
+	return reply
+}
+
+// newAttempt chooses a target for an attempt. The attempt is a copy of first if
+// first is not nil; a copy goes only to a usable target in good standing. If the
+// attempt cannot be made, newAttempt returns the reason as a reply.
+func (in *Ingress) newAttempt(s *attemptSeries, noWait bool, first *attempt) (*attempt, *link.Reply) {
+	now, req := in.cfg.Clock(), s.req
 	if in.tooLateToStart(req.class) {
-		return link.Refused(req.call(now), reasonEnding)
+		return nil, link.Refused(req.call(now), reasonEnding)
 	}
 	view := in.view.Load()
 	call := req.call(now)
 	picker, ok := view.Pickers[req.service]
 	if !ok {
-		return link.Refused(call, "the service has no targets")
+		return nil, link.Refused(call, "the service has no targets")
 	}
-	call.NoWait = in.cfg.UncountedRefusals && (s.sidecarAttempts <= maxNoWaitAttempts || s.waited)
+	call.NoWait = noWait
 	call.Nested = req.nested
 	call.Waited = s.withdrawnWait
-	call.Final = in.cfg.UncountedRefusals && s.final(now)
-	choice, ok := picker.Pick(routing.Request{
-		Idempotent: req.class.Idempotent && !call.Final, LargeAnswer: req.class.LargeAnswer, Bytes: max(req.contentLength, 0), Expected: req.class.Expected.AsDuration(), Exclude: s.excludedTargets(call.NoWait),
-	}, random(), now)
+	call.Final = in.cfg.UncountedRefusals && (first != nil || s.final(now))
+	choice, ok := pickTarget(picker, routing.Request{
+		Idempotent: req.class.Idempotent && !call.Final && first == nil, LargeAnswer: req.class.LargeAnswer, Bytes: max(req.contentLength, 0), Expected: req.class.Expected.AsDuration(), Exclude: s.excludedTargets(call.NoWait && first == nil),
+	}, first, now)
 	if !ok {
-		return link.Refused(call, "no target of the service may receive the request")
+		return nil, link.Refused(call, "no target of the service may receive the request")
 	}
 	endpoint := choice.Target
 	target := endpoint.Target()
@@ -229,55 +250,70 @@
 	s.busy = slices.DeleteFunc(s.busy, func(id fleet.TargetID) bool { return id == target.ID })
 	call.Target = target.ID
 	call.RateLimit = endpoint.RateLimit()
-	call.Retry = s.dispatched > 0
-	call.Forced = s.badStandingRefusals >= refusalsBeforeForcedCall
+	call.Retry = s.dispatched > 0 || first != nil
+	call.Forced = s.badStandingRefusals >= refusalsBeforeForcedCall && first == nil
+	number := s.dispatched + 1
+	if first != nil {
+		number++
+	}
+	return &attempt{call: call, endpoint: endpoint, target: target, view: view, timeout: attemptTimeout(req, choice, number, call.Timeout), startsAt: now}, nil
+}
+
+// run sends the attempt and waits for its reply. It may be called in any
+// goroutine; recordReply then updates the series.
+func (in *Ingress) run(ctx context.Context, req *request, a *attempt) *link.Reply {
 	// The timer is stopped when the answer begins, so that it cannot cut off a
 	// long answer.
 	ctx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(attemptTimeout(req, choice, s.dispatched+1, call.Timeout), cancel)
-	endpoint.Begin()
-	reply := in.deliver(ctx, view, target.Node, req.class, call)
+	timer := time.AfterFunc(a.timeout, cancel)
+	a.endpoint.Begin()
+	reply := in.deliver(ctx, a.view, a.target.Node, req.class, a.call)
 	timer.Stop()
-	reply = in.prefetch(call, reply)
-	reply.Target = target.ID
+	reply = in.prefetch(a.call, reply)
+	reply.Target, a.endedAt = a.target.ID, in.cfg.Clock()
+	in.observeRunTime(req, a, reply)
 	if reply.Leaving {
-		endpoint.SaysLeaving(target)
+		a.endpoint.SaysLeaving(a.target)
 	}
-	in.paths.record(target.ID, reply)
+	in.paths.record(a.target.ID, reply)
 	in.recordCallsPerRun(req.service, reply)
-	if reply.BadStanding {
-		s.badStandingRefusals++
-	}
-	switch elapsed := in.cfg.Clock().Sub(now); {
-	case reply.Withdrawn:
-		s.withdrawals++
-		s.withdrawnWait += elapsed
-	case reply.Outcome == fleet.NotRun && elapsed >= minQueuedRefusalTime:
-		s.waited = true
-	}
-	if reply.Busy {
-		s.busy = append(s.busy, target.ID)
-	}
 	if reply.PathFailed {
-		endpoint.PathFailed(in.cfg.Clock())
+		a.endpoint.PathFailed(in.cfg.Clock())
 	}
 	if reply.Outcome != fleet.Answered {
 		cancel()
-		endpoint.End(reply.Load, !reply.PathFailed && !reply.Dispatched, in.cfg.Clock())
+		a.endpoint.End(reply.Load, !reply.PathFailed && !reply.Dispatched, in.cfg.Clock())
 		return reply
 	}
 	if isBuffered(reply) {
 		cancel()
-		endpoint.End(reply.Load, true, in.cfg.Clock())
+		a.endpoint.End(reply.Load, true, in.cfg.Clock())
 		return reply
 	}
 	reply.Body = &closeHook{ReadCloser: reply.Body, hook: func() {
 		cancel()
-		endpoint.End(reply.Load, true, in.cfg.Clock())
+		a.endpoint.End(reply.Load, true, in.cfg.Clock())
 	}}
 	return reply
 }
 
+// recordReply updates the series after an attempt.
+func (in *Ingress) recordReply(s *attemptSeries, a *attempt, reply *link.Reply) {
+	if reply.BadStanding {
+		s.badStandingRefusals++
+	}
+	switch elapsed := a.endedAt.Sub(a.startsAt); {
+	case reply.Withdrawn:
+		s.withdrawals++
+		s.withdrawnWait += elapsed
+	case reply.Outcome == fleet.NotRun && elapsed >= minQueuedRefusalTime:
+		s.waited = true
+	}
+	if reply.Busy {
+		s.busy = append(s.busy, a.target.ID)
+	}
+}
+
 // attemptTimeout returns how long an attempt may wait for the first byte of its
 // answer. Non-idempotent and streamed requests may use all the time left.
 //
@@ -372,56 +408,6 @@
 	return in.cfg.Remote.Forward(ctx, peer, class.Length, call)
 }
 
-// prefetch reads a small answer completely. A truncated answer becomes a reply
-// with an unknown outcome, which is possible because nothing has been sent to
-// the caller yet.
-func (in *Ingress) prefetch(call *link.Call, reply *link.Reply) *link.Reply {
-	limit, withoutLength := int64(maxPrefetchBytes), false
-	if in.cfg.FrontEnd != nil {
-		limit, withoutLength = maxFrontEndPrefetchBytes, true
-	}
-	if reply.Outcome != fleet.Answered || reply.ContentLength > limit || reply.ContentLength < 0 && !withoutLength {
-		return reply
-	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, limit))
-	if err != nil {
-		reply.Body.Close()
-		truncated := link.MayHaveRun(call, "the answer was cut short: "+err.Error())
-		truncated.Load = reply.Load
-		return truncated
-	}
-	if int64(len(body)) == limit && reply.ContentLength < 0 {
-		reply.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), reply.Body), Closer: reply.Body}
-		return reply
-	}
-	reply.Body.Close()
-	reply.Body, reply.ContentLength = &bufferedBody{*bytes.NewReader(body)}, int64(len(body))
-	return reply
-}
-
-// bufferedBody is a complete answer body in memory.
-type bufferedBody struct{ bytes.Reader }
-
-func (*bufferedBody) Close() error { return nil }
-
-// prefixedBody is an answer body whose beginning has already been read.
-type prefixedBody struct {
-	io.Reader
-	io.Closer
-}
-
-// closeHook calls hook once, after the first Close of the body.
-type closeHook struct {
-	io.ReadCloser
-	once sync.Once
-	hook func()
-}
-
-func (c *closeHook) Close() error {
-	defer c.once.Do(c.hook)
-	return c.ReadCloser.Close()
-}
-
 // sleep waits for d and reports false if ctx ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"siskinvale.dev/siskinvale/internal/event"
 	"siskinvale.dev/siskinvale/internal/fleet"
 	"siskinvale.dev/siskinvale/internal/health"
+	"siskinvale.dev/siskinvale/internal/hedge"
 	"siskinvale.dev/siskinvale/internal/link"
 	"siskinvale.dev/siskinvale/internal/metric"
 	"siskinvale.dev/siskinvale/internal/routing"
@@ -83,6 +84,8 @@
 	// Quotas grants requests within the quotas of organisations; nil if quotas
 	// are not enforced.
 	Quotas Quotas
+	// Hedger decides about second copies of slow requests; nil if none are sent.
+	Hedger *hedge.Hedger
 	// StartWait is how long after New requests wait for the first bundle instead
 	// of being refused. Callers keep sending while a process is replaced.
 	StartWait time.Duration
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -48,8 +48,10 @@
       - {name: lookup, idempotent: true, idempotencyKey: none, priority: interactive, length: short, deadline: 500ms, expected: 5ms, attempts: 3, maxBody: 1024}
       - {name: hold, idempotent: false, idempotencyKey: required, priority: interactive, length: short, deadline: 300ms, expected: 5ms, attempts: 1, maxBody: 1024}
       - {name: note, idempotent: false, idempotencyKey: optional, priority: interactive, length: short, deadline: 500ms, expected: 5ms, attempts: 1, maxBody: 100000}
+      - {name: search, idempotent: true, idempotencyKey: none, priority: interactive, length: short, deadline: 500ms, expected: 5ms, attempts: 3, maxBody: 100000}
     routes:
       - {method: GET, path: /kits/:id, class: lookup}
+      - {method: POST, path: /searches, class: search}
       - {method: POST, path: /holds, class: hold}
       - {method: POST, path: /notes, class: note}
 tenants:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"siskinvale.dev/siskinvale/internal/config"
 	"siskinvale.dev/siskinvale/internal/event"
 	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/hedge"
 	"siskinvale.dev/siskinvale/internal/ingress"
 	"siskinvale.dev/siskinvale/internal/link"
 	"siskinvale.dev/siskinvale/internal/membership"
@@ -115,6 +116,9 @@
 	if r := s.FleetRetryBudget; r != nil {
 		ingressConfig.FleetRetryBudget = ingress.FleetRetryBudget{Ratio: r.Ratio, Allowance: r.Allowance, Window: r.Window}
 	}
+	if h := s.Hedging; h != nil && h.Ratio > 0 {
+		ingressConfig.Hedger = hedge.New(h.Ratio)
+	}
 	n.ingress = ingress.New(ingressConfig)
 	n.control = newControl(n)
 	n.sidecar.SetLeaving(n.control.targetSaysLeaving)
