Send second copies also where a node sees few requests

Change: the limit holds over a minute, 10 run times are enough for quantiles, the configured run time is used before, and a copy is sent early enough for the latency objective.

--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// limitWindow is the time span in which the limit holds.
-	limitWindow = 10 * time.Second
+	// limitWindow is the time span in which the limit holds. In a shorter one, a
+	// node with few requests could never send a copy.
+	limitWindow = time.Minute
 	// floorFactor is the multiple of the median run time before which no copy is
 	// sent. A copy takes a usual run time itself, so that an earlier one seldom
 	// overtakes the first attempt.
@@ -27,6 +28,9 @@
 	// fullPause is how long no copies are sent for a service after one found no
 	// free slot.
 	fullPause = 20 * time.Millisecond
+	// unknownUpperFactor is the multiple of the expected run time that replaces
+	// the quantile while few run times are known.
+	unknownUpperFactor = 3
 	// maxEligibleRequests is the number of requests after which older ones count
 	// half in the share of eligible requests.
 	maxEligibleRequests = 1000
@@ -115,7 +119,7 @@
 	return max(0, 1-math.Round(1000*ratio*s.requests/s.eligible)/1000)
 }
 
-// Timing says when a copy of a request of one class may be sent.
+// Timing says when a copy of a request may be sent.
 type Timing struct {
 	// Delay is the time from the first attempt to the copy.
 	Delay time.Duration
@@ -123,22 +127,34 @@
 	MinRemaining time.Duration
 }
 
-// Timing returns the timing for a class, or false while too few run times are
-// known.
-func (h *Hedger) Timing(name, class string, now time.Time) (Timing, bool) {
-	s := h.service(name, now)
-	r, ok := s.classes.Load(class)
-	if !ok {
-		return Timing{}, false
+// Attempt describes an attempt that is about to be sent.
+type Attempt struct {
+	Service, Class string
+	// Expected is the configured run time of the class, 0 if there is none.
+	Expected time.Duration
+	// ToObjective is the time left until the latency objective; 0 without one.
+	ToObjective time.Duration
+}
+
+// Timing returns when a copy may follow an attempt, or false if nothing is known
+// about the run times of the class. A copy is sent earlier if it could otherwise
+// not meet the latency objective.
+func (h *Hedger) Timing(a Attempt, now time.Time) (Timing, bool) {
+	s := h.service(a.Service, now)
+	q := quantiles{median: a.Expected, upper: unknownUpperFactor * a.Expected, known: a.Expected > 0}
+	if r, ok := s.classes.Load(a.Class); ok {
+		if observed := r.(*runTimes).at(s.quantile(h.ratio)); observed.known {
+			q = observed
+		}
 	}
-	q := r.(*runTimes).at(s.quantile(h.ratio))
 	if !q.known {
 		return Timing{}, false
 	}
-	return Timing{
-		Delay:        max(q.upper, time.Duration(floorFactor*float64(q.median))),
-		MinRemaining: time.Duration(minTimeFactor * float64(q.median)),
-	}, true
+	delay, needed := q.upper, time.Duration(minTimeFactor*float64(q.median))
+	if a.ToObjective > needed {
+		delay = min(delay, a.ToObjective-needed)
+	}
+	return Timing{Delay: max(delay, time.Duration(floorFactor*float64(q.median))), MinRemaining: needed}, true
 }
 
 // Copy describes a copy that is due.
--- a/internal/hedge/replay/replay.go
+++ b/internal/hedge/replay/replay.go
@@ -21,7 +21,7 @@
 	targets    = 10
 	slots      = 4
 	Requests   = 40_000 // of each trace
-	Traces     = 4
+	Traces     = 16
 	usualRun   = 20 * time.Millisecond // mean usual run time
 	deadline   = 2 * time.Second
 	Ratio      = 0.05
@@ -213,7 +213,7 @@
 	case Fixed:
 		r.at(r.now+fixedDelay, func() { r.sendCopy(q) })
 	case Quantile:
-		if timing, ok := r.hedger.Timing("s", "c", start.Add(r.now)); ok {
+		if timing, ok := r.hedger.Timing(hedge.Attempt{Service: "s", Class: "c"}, start.Add(r.now)); ok {
 			r.copyAfter(q, timing, timing.Delay)
 		}
 	}
--- a/internal/hedge/runtimes.go
+++ b/internal/hedge/runtimes.go
@@ -13,14 +13,15 @@
 	resolution         = 50 * time.Microsecond
 	maxRunTime         = 10 * time.Minute
 	significantFigures = 1
-	// A histogram is replaced when it holds at least minSamples run times and is
+	// A histogram is replaced when it holds at least minRotated run times and is
 	// rotationInterval old, or when it holds maxSamples. The quantiles cover the
 	// current histogram and the previous one.
 	rotationInterval = 15 * time.Second
+	minRotated       = 40
 	maxSamples       = 2000
-	// minSamples is the number of run times below which a class has no
-	// quantiles.
-	minSamples = 40
+	// minSamples is the number of run times below which the expected run time of
+	// the class is used instead of quantiles.
+	minSamples = 10
 )
 
 // runTimes holds the recent run times of one class. It is safe for concurrent
@@ -53,7 +54,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := r.current.TotalCount()
-	if n >= maxSamples || n >= minSamples && now.Sub(r.startedAt) >= rotationInterval {
+	if n >= maxSamples || n >= minRotated && now.Sub(r.startedAt) >= rotationInterval {
 		r.current, r.previous = r.previous, r.current
 		r.current.Reset()
 		r.startedAt = now
--- a/internal/ingress/hedge.go
+++ b/internal/ingress/hedge.go
@@ -61,7 +61,9 @@
 	if in.cfg.Hedger == nil || !s.req.mayBeCopied() || in.attemptsLeft(s) < 1 {
 		return hedge.Timing{}, false
 	}
-	return in.cfg.Hedger.Timing(s.req.service, s.req.class.Name, a.startsAt)
+	return in.cfg.Hedger.Timing(hedge.Attempt{
+		Service: s.req.service, Class: s.req.class.Name, Expected: s.req.class.Expected.AsDuration(), ToObjective: a.call.Objective,
+	}, a.startsAt)
 }
 
 // attemptsLeft returns how many attempts are left if the one that was started
