Leave the last retry to failed requests and do not count refused copies

A copy that a leaving target refused gave its request an additional attempt.

Change: a copy is withheld unless the retry budget has another retry left; the replies of copies change nothing in the series but the list of busy targets.

Measured: specs of hedge and ingress pass; the spec for the additional attempt fails without the change. The effect of the first change is not yet measured.

--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -166,7 +166,16 @@
 	// Remaining is the time left until the request's deadline.
 	Remaining time.Duration
 	// Budget is the retry budget that pays for the copy besides the limit.
-	Budget retry.Withdrawer
+	Budget Budget
+}
+
+// Budget is a retry budget.
+type Budget interface {
+	retry.Withdrawer
+	// Available reports whether Withdraw would succeed.
+	Available(now time.Time) bool
+	// Refund returns a withdrawn retry that was not made.
+	Refund(now time.Time)
 }
 
 // Decide reports whether a copy is sent, and why. If so, it takes the copy from
@@ -185,6 +194,12 @@
 	case !c.Budget.Withdraw(now):
 		s.limit.Refund(now)
 		return false, ReasonBudget
+	case !c.Budget.Available(now):
+		// The last retry is left to a request that fails: a slow one may still be
+		// answered without a copy.
+		c.Budget.Refund(now)
+		s.limit.Refund(now)
+		return false, ReasonBudget
 	default:
 		return true, ReasonSlow
 	}
--- a/internal/hedge/replay/replay.go
+++ b/internal/hedge/replay/replay.go
@@ -159,7 +159,9 @@
 // unlimited is a retry budget without a limit.
 type unlimited struct{}
 
-func (unlimited) Withdraw(time.Time) bool { return true }
+func (unlimited) Withdraw(time.Time) bool  { return true }
+func (unlimited) Available(time.Time) bool { return true }
+func (unlimited) Refund(time.Time)         {}
 
 // request is one request of the trace during its replay.
 type request struct {
--- a/internal/ingress/hedge.go
+++ b/internal/ingress/hedge.go
@@ -139,7 +139,11 @@
 			}
 			continue
 		case ended := <-results:
-			in.recordReply(s, ended.attempt, ended.reply)
+			if ended == first {
+				in.recordReply(s, a, ended.reply)
+			} else if ended.reply.Busy {
+				s.busy = append(s.busy, ended.target.ID)
+			}
 			switch success := s.req.succeeded(ended.reply); {
 			case ended == first && success:
 				if second != nil {
--- a/internal/ingress/hedge_test.go
+++ b/internal/ingress/hedge_test.go
@@ -218,6 +218,23 @@
 		Expect(scrape(s)).To(ContainSubstring(`siskinvale_hedges_total{result="failed"}`))
 	}, Entry("uncounted refusals", true), Entry("counted refusals", false))
 
+	// Guards against additional attempts in place of copies that were not run.
+	It("does not count a copy that a leaving target refused", func() {
+		var attempts atomic.Int64
+		remote := &concurrentRemote{reply: func(ctx context.Context, call *link.Call) *link.Reply {
+			if call.NoWait { // with counted refusals, only copies are no-wait calls
+				return withdrawnAfter(0)(call)
+			}
+			attempts.Add(1)
+			return afterwards(3*usualRun, mayHaveRun("broken"))(ctx, call)
+		}}
+		s := newHedgingIngress(remote, func(c *ingress.Config) { c.UncountedRefusals = false })
+		s.setTargets(s.in.View().Bundle, 8)
+		s.send("GET", "/kits/1", "")
+		Expect(attempts.Load()).To(Equal(int64(3)))
+		Expect(scrape(s)).To(ContainSubstring(`result="refused"`))
+	})
+
 	// Guards against copies that the retry budget of the fleet does not cover.
 	It("sends no copy without a retry in the budget", func() {
 		remote := firstAndCopy(afterwards(3*usualRun, answered("first")), afterwards(0, answered("copy")))
