Bound the memory of run times

Cause: the run times of each class ever seen were kept, about 5 KB a class, which at the planned 18,000 routes is 90 MB of the 128 MB of a node.

Change: at most 2,000 classes; idle ones are removed when the limit is reached. Histograms have a coarser unit and a smaller range (2,372 bytes each by ByteSize).

--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -31,6 +31,12 @@
 	// unknownUpperFactor is the multiple of the expected run time that replaces
 	// the quantile while few run times are known.
 	unknownUpperFactor = 3
+	// maxClasses is the number of classes of which run times are kept, about 5 KB
+	// each. When it is reached, classes without a request for classIdleTime are
+	// removed, at most every evictInterval.
+	maxClasses    = 2000
+	classIdleTime = 10 * time.Minute
+	evictInterval = time.Minute
 	// maxEligibleRequests is the number of requests after which older ones count
 	// half in the share of eligible requests.
 	maxEligibleRequests = 1000
@@ -55,6 +61,11 @@
 type Hedger struct {
 	ratio    float64
 	services sync.Map // string -> *service
+
+	// mu guards the addition and removal of classes; reads take no lock.
+	mu      sync.Mutex
+	classes int
+	evicted time.Time // when idle classes were last removed
 }
 
 // service is the state of one service.
@@ -102,11 +113,47 @@
 	s := h.service(name, now)
 	r, ok := s.classes.Load(class)
 	if !ok {
-		r, _ = s.classes.LoadOrStore(class, newRunTimes(now))
+		if r, ok = h.addClass(s, class, now); !ok {
+			return
+		}
 	}
 	r.(*runTimes).observe(run, now)
 }
 
+// addClass adds a class without run times. It returns false if there is no room
+// for it.
+func (h *Hedger) addClass(s *service, class string, now time.Time) (any, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.classes >= maxClasses && now.Sub(h.evicted) >= evictInterval {
+		h.evict(now)
+	}
+	if h.classes >= maxClasses {
+		return nil, false
+	}
+	r, loaded := s.classes.LoadOrStore(class, newRunTimes(now))
+	if !loaded {
+		h.classes++
+	}
+	return r, true
+}
+
+// evict removes the idle classes. h.mu must be held.
+func (h *Hedger) evict(now time.Time) {
+	h.evicted = now
+	h.services.Range(func(_, s any) bool {
+		classes := &s.(*service).classes
+		classes.Range(func(class, r any) bool {
+			if !r.(*runTimes).observedSince(now.Add(-classIdleTime)) {
+				classes.Delete(class)
+				h.classes--
+			}
+			return true
+		})
+		return true
+	})
+}
+
 // quantile returns the quantile of the run times that as many eligible requests
 // exceed as the limit allows copies.
 func (s *service) quantile(ratio float64) float64 {
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -1,6 +1,7 @@
 package hedge_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -114,6 +115,32 @@
 		Expect(timing.Delay).To(BeNumerically(">=", time.Second))
 	})
 
+	// Guards against memory that grows with the routes of all bundles since the
+	// start.
+	It("keeps run times of a limited number of classes", func() {
+		h := hedge.New(0.1)
+		observe := func(class int, at time.Time) {
+			for range 10 {
+				h.Observe("s", fmt.Sprint(class), time.Millisecond, at)
+			}
+		}
+		known := func(class int, at time.Time) bool {
+			_, ok := h.Timing(hedge.Attempt{Service: "s", Class: fmt.Sprint(class)}, at)
+			return ok
+		}
+		for class := range 2001 {
+			observe(class, start)
+		}
+		Expect(known(1999, start)).To(BeTrue())
+		Expect(known(2000, start)).To(BeFalse())
+		later := start.Add(11 * time.Minute)
+		observe(0, later)
+		observe(2000, later)
+		Expect(known(0, later)).To(BeTrue(), "it is in use")
+		Expect(known(1, later)).To(BeFalse())
+		Expect(known(2000, later)).To(BeTrue())
+	})
+
 	DescribeTable("withholds a copy", func(change func(*hedge.Hedger, *hedge.Copy), reason hedge.Reason) {
 		h := observed(0.1)
 		c := due(&budget{left: 2})
--- a/internal/hedge/runtimes.go
+++ b/internal/hedge/runtimes.go
@@ -9,9 +9,9 @@
 
 const (
 	// resolution is the unit of the histograms. With one significant figure, a
-	// histogram takes about 3 KB.
-	resolution         = 50 * time.Microsecond
-	maxRunTime         = 10 * time.Minute
+	// histogram takes about 2 KB.
+	resolution         = 100 * time.Microsecond
+	maxRunTime         = 2 * time.Minute
 	significantFigures = 1
 	// A histogram is replaced when it holds at least minRotated run times and is
 	// rotationInterval old, or when it holds maxSamples. The quantiles cover the
@@ -30,6 +30,7 @@
 	mu                sync.Mutex
 	current, previous *hdrhistogram.Histogram
 	startedAt         time.Time // of current
+	lastObserved      time.Time
 	// recorded counts the run times since quantiles were last computed.
 	recorded int
 	cached   quantiles
@@ -63,6 +64,13 @@
 	// possible.
 	_ = r.current.RecordValue(int64(min(max(run, resolution), maxRunTime) / resolution))
 	r.recorded++
+	r.lastObserved = now
+}
+
+func (r *runTimes) observedSince(at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.lastObserved.Before(at)
 }
 
 // refreshAfter is the number of new run times after which the quantiles are
