Send no work to targets that hang

Cause: a target that hung lost its standing only by failures, and requests given up at it or ended by its own timeout did not count as such: each slot that became free there took the next request, also ones that run only once.

Change: a sidecar reports its target as hanging while it has held two requests for three times the average run time of their class and has completed none in that time; it then admits an idempotent probe per 2 s. Requests given up during a hang count as failures.

--- a/internal/sidecar/evidence.go
+++ b/internal/sidecar/evidence.go
@@ -43,6 +43,8 @@
 type evidence struct {
 	mu      sync.Mutex
 	classes map[string]*classEvidence
+	// lastCompleted is when a request was last completed.
+	lastCompleted time.Time
 }
 
 type classEvidence struct {
@@ -55,7 +57,8 @@
 // waiting for the target counts: a caller that reads a long answer slowly must
 // not make its target look stalled.
 type activeRequest struct {
-	class string
+	class     string
+	startedAt time.Time
 	// waitingSince is zero while the caller is reading the answer and nothing
 	// is expected from the target.
 	waitingSince time.Time
@@ -65,7 +68,7 @@
 func newEvidence() *evidence { return &evidence{classes: make(map[string]*classEvidence)} }
 
 func (e *evidence) begin(class string, now time.Time) *activeRequest {
-	r := &activeRequest{class: class, waitingSince: now}
+	r := &activeRequest{class: class, startedAt: now, waitingSince: now}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c, ok := e.classes[class]
@@ -99,12 +102,15 @@
 	}
 }
 
-func (e *evidence) end(r *activeRequest, now time.Time, outcome requestOutcome) {
+// end records how a request ended. It reports whether the request was given up
+// at a target that hung.
+func (e *evidence) end(r *activeRequest, now time.Time, outcome requestOutcome) (hung bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r.stopWaiting(now)
 	c := e.classes[r.class]
 	delete(c.running, r)
+	hung = (outcome == cancelled || outcome == expired) && c.overdue(r.waited) && !e.lastCompleted.After(r.startedAt)
 	if outcome == cancelled && c.averageRunTime > 0 && r.waited > lateFactor*c.averageRunTime {
 		outcome = failed
 	}
@@ -112,11 +118,13 @@
 	case completed:
 		c.completed++
 		c.observe(r.waited)
+		e.lastCompleted = now
 	case failed, expired:
 		c.failed++
 	case truncated:
 		c.truncated++
 	}
+	return hung
 }
 
 func (c *classEvidence) observe(runTime time.Duration) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -131,7 +131,15 @@
 
 // StandingChanged reports whether a local target lost or regained its standing
 // since the previous call of StandingChanged.
-func (s *Sidecar) StandingChanged() bool { return s.standingChanged.Swap(false) }
+func (s *Sidecar) StandingChanged() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	changed := s.standingChanged.Swap(false)
+	for _, t := range s.targets {
+		changed = t.checkHanging() || changed
+	}
+	return changed
+}
 
 // Loads calls f with the load of each local target.
 func (s *Sidecar) Loads(f func(fleet.TargetID, fleet.Load)) {
--- a/internal/sidecar/standing_test.go
+++ b/internal/sidecar/standing_test.go
@@ -52,6 +52,7 @@
 		status     atomic.Int64
 		answerKind atomic.Value
 		runs       atomic.Int64
+		hang       atomic.Pointer[chan struct{}] // requests wait until it is closed
 	)
 	clock := func() time.Time { return time.Unix(0, now.Load()) }
 	BeforeEach(func() {
@@ -59,8 +60,12 @@
 		status.Store(200)
 		answerKind.Store("")
 		runs.Store(0)
+		hang.Store(nil)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			runs.Add(1)
+			if c := hang.Load(); c != nil {
+				<-*c
+			}
 			w.Header().Set("Answer-Kind", answerKind.Load().(string))
 			w.WriteHeader(int(status.Load()))
 		}))
@@ -149,6 +154,89 @@
 		Expect(send(true).BadStanding).To(BeFalse())
 	})
 
+	// beginHang makes requests wait until the returned function is called.
+	beginHang := func() (end func()) {
+		released := make(chan struct{})
+		hang.Store(&released)
+		return func() {
+			hang.Store(nil)
+			close(released)
+		}
+	}
+
+	// Guards against calls, also ones that may run only once, that are sent to a
+	// target that holds all its requests, and against a target that stays out of
+	// use after it goes on.
+	It("admits no calls to a target that hangs, until it completes one", func() {
+		slow := make(chan *link.Reply, 2)
+		hold := func() {
+			before := runs.Load()
+			go func() {
+				defer GinkgoRecover()
+				slow <- send(true)
+			}()
+			Eventually(runs.Load).Should(Equal(before + 1))
+		}
+		end := beginHang()
+		hold()
+		now.Add(int64(100 * time.Millisecond)) // the average run time
+		end()
+		Eventually(slow).Should(Receive())
+		end = beginHang()
+		hold()
+		now.Add(int64(time.Second))
+		Expect(s.StandingChanged()).To(BeFalse(), "a single request may be long")
+		hold()
+		now.Add(int64(time.Second))
+		Expect(s.StandingChanged()).To(BeTrue())
+		Expect(s.StandingChanged()).To(BeFalse())
+		Expect(send(false).BadStanding).To(BeTrue())
+		refused := send(true)
+		Expect(refused.BadStanding).To(BeTrue())
+		Expect(refused.Load.EpisodeProbability).To(BeNumerically(">", 0.8))
+		end()
+		Eventually(slow).Should(Receive())
+		Eventually(slow).Should(Receive())
+		Expect(s.StandingChanged()).To(BeTrue())
+		Expect(send(false).Status).To(Equal(200))
+	})
+
+	// Guards against a target that gets new calls after each timeout during a
+	// hang.
+	It("counts a call that was given up at a hung target as a failure", func() {
+		result := make(chan *link.Reply, 1)
+		hold := func(ctx context.Context) {
+			before := runs.Load()
+			go func() {
+				defer GinkgoRecover()
+				reply := s.Forward(ctx, &link.Call{
+					AttemptID: "a", RequestID: "r", Service: "booking", Class: "c", Target: "t", Timeout: 5 * time.Second, Method: "GET", Path: "/x",
+					Header: http.Header{}, Body: http.NoBody, ClassParams: &link.ClassParams{Idempotent: true},
+				})
+				_, err := io.Copy(io.Discard, reply.Body)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(reply.Body.Close()).To(Succeed())
+				result <- reply
+			}()
+			Eventually(runs.Load).Should(Equal(before + 1))
+		}
+		end := beginHang()
+		hold(context.Background())
+		now.Add(int64(100 * time.Millisecond)) // the average run time
+		end()
+		Eventually(result).Should(Receive())
+		end = beginHang()
+		for range 2 {
+			ctx, cancel := context.WithCancel(context.Background())
+			hold(ctx)
+			now.Add(int64(time.Second))
+			cancel()
+			Expect((<-result).Outcome).To(Equal(fleet.Unknown))
+		}
+		end()
+		Expect(send(false).BadStanding).To(BeTrue())
+	})
+
 	// Guards against a call that is queued at one target although another
 	// target has a free slot.
 	It("refuses a no-wait call without a free slot", func() {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -73,6 +73,8 @@
 	// loggedTrusted is whether the target was in good standing at the last
 	// logged change.
 	loggedTrusted bool
+	// loggedHanging is whether the target hung at the last check.
+	loggedHanging bool
 
 	rates rateState
 	// saidLeaving is set once an answer stated that the target is leaving.
@@ -193,7 +195,7 @@
 	load.RateLimit, load.RateUnknown = limit, !known
 	if t.dialect != nil {
 		t.mu.Lock()
-		load.EpisodeProbability = t.standing.EpisodeProbability(t.clock())
+		load.EpisodeProbability = t.episodeProbability(t.clock())
 		t.mu.Unlock()
 	}
 	return load
@@ -207,7 +209,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.standing.Admit(t.clock(), canRetry(call))
+	now := t.clock()
+	t.standing.SetHanging(now, t.evidence.hanging(now))
+	return t.standing.Admit(now, canRetry(call))
 }
 
 // canRetry reports whether the call can be retried after a failure.
@@ -222,12 +226,10 @@
 		return
 	}
 	t.mu.Lock()
-	before := t.standing.EpisodeProbability(t.clock())
+	before := t.episodeProbability(t.clock())
 	t.standing.Observe(t.clock(), outcome != completed)
-	probability := t.standing.EpisodeProbability(t.clock())
-	trusted := probability <= standing.TrustLimit
-	changed := trusted != t.loggedTrusted
-	t.loggedTrusted = trusted
+	probability := t.episodeProbability(t.clock())
+	changed := t.logStanding(probability)
 	t.mu.Unlock()
 	if outcome != completed {
 		t.log.Log(event.CallFailed, event.Fields{
@@ -237,11 +239,6 @@
 	}
 	if changed {
 		t.standingChanged()
-		e := event.StandingLost
-		if trusted {
-			e = event.StandingRegained
-		}
-		t.log.Log(e, event.Fields{"target": t.record().ID, "bad": probability})
 	}
 }
 
@@ -284,7 +281,9 @@
 	untrack := t.trackRun(call)
 	end := func(outcome requestOutcome, detail string) {
 		untrack()
-		t.evidence.end(active, t.clock(), outcome)
+		if hung := t.evidence.end(active, t.clock(), outcome); hung && t.dialect != nil {
+			outcome, detail = failed, "the target hung"
+		}
 		t.recordOutcome(call, outcome, detail)
 		release()
 	}
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -44,10 +44,17 @@
 	// ProbeLimit is the episode probability above which idempotent requests are
 	// admitted only as probes.
 	ProbeLimit = 0.6
+	// hangingProbability is the least episode probability of a target that
+	// hangs.
+	hangingProbability = 0.9
 	// probeInterval is the minimum time between two probes. Most probes in a
 	// failure episode fail, and each failure costs a retry from the retry
 	// budget; an episode of 3 s costs at most five.
 	probeInterval = 600 * time.Millisecond
+	// hangingProbeInterval is the minimum time between two probes of a target
+	// that hangs. The requests that it holds show when it goes on; probes are
+	// needed only if these are unusually long ones.
+	hangingProbeInterval = 2 * time.Second
 )
 
 // Prior is the episode probability of a target without recent outcomes.
@@ -75,6 +82,7 @@
 	probability float64
 	observedAt  time.Time
 	lastProbe   time.Time
+	hanging     bool
 }
 
 // NewTracker returns a tracker for a target that has no outcomes yet.
@@ -85,12 +93,25 @@
 // EpisodeProbability returns the probability that the target is in a failure
 // episode.
 func (t *Tracker) EpisodeProbability(now time.Time) float64 {
-	return Decay(t.probability, now.Sub(t.observedAt))
+	probability := Decay(t.probability, now.Sub(t.observedAt))
+	if t.hanging {
+		return max(probability, hangingProbability)
+	}
+	return probability
+}
+
+// SetHanging states whether the target hangs: it holds requests far beyond their
+// usual run time and completes none.
+func (t *Tracker) SetHanging(now time.Time, hanging bool) {
+	if hanging && !t.hanging {
+		t.lastProbe = now
+	}
+	t.hanging = hanging
 }
 
 // Observe updates the episode probability with the outcome of one request.
 func (t *Tracker) Observe(now time.Time, failed bool) {
-	probability := t.EpisodeProbability(now)
+	probability := Decay(t.probability, now.Sub(t.observedAt))
 	likelihoodBad, likelihoodGood := 1-badFailureRate, 1-goodFailureRate
 	if failed {
 		likelihoodBad, likelihoodGood = badFailureRate, goodFailureRate
@@ -101,10 +122,12 @@
 
 // Admit reports whether a request may be sent to the target. An idempotent
 // request that is admitted above ProbeLimit is a probe; no further one is
-// admitted within the probe interval.
+// admitted within the probe interval, which is longer while the target hangs.
 func (t *Tracker) Admit(now time.Time, idempotent bool) bool {
 	probability := t.EpisodeProbability(now)
 	switch {
+	case t.hanging && now.Sub(t.lastProbe) < hangingProbeInterval:
+		return false
 	case !idempotent:
 		return probability <= TrustLimit
 	case probability <= ProbeLimit:
--- a/internal/standing/standing_test.go
+++ b/internal/standing/standing_test.go
@@ -61,6 +61,30 @@
 		Expect(admitted).To(BeNumerically("~", 2, 1))
 	})
 
+	// Guards against requests that are lost at a target that hangs, against a
+	// target that stays out of use because all its requests are long, and
+	// against a hang that outlasts itself in the estimate.
+	It("admits only rare probes while the target hangs", func() {
+		t := standing.NewTracker(start)
+		t.Observe(start, false)
+		before := t.EpisodeProbability(start)
+		t.SetHanging(start, true)
+		Expect(t.EpisodeProbability(start)).To(BeNumerically(">", standing.ProbeLimit))
+		admitted := 0
+		for i := range 500 {
+			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			t.SetHanging(now, true)
+			Expect(t.Admit(now, false)).To(BeFalse())
+			if t.Admit(now, true) {
+				admitted++
+			}
+		}
+		Expect(admitted).To(Equal(2))
+		t.SetHanging(start, false)
+		Expect(t.EpisodeProbability(start)).To(Equal(before))
+		Expect(t.Admit(start, false)).To(BeTrue())
+	})
+
 	It("returns to the prior without outcomes", func() {
 		t := standing.NewTracker(start)
 		t.Observe(start, true)
