Send copies to other VMs also where a VM has several targets

Cause: the choice of a copy's target was repeated only once, so that a copy could go to the VM of the first attempt if that has three targets or more.

Change: the choice is repeated until it finds another VM, at most eight times. The setting hedging.ratio has a spec.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -65,6 +65,17 @@
 		Expect(strings.Join(lines, "\n")).NotTo(ContainSubstring("short}"))
 	})
 
+	// Guards against a percentage where a fraction is meant, which would double
+	// the load of a service.
+	It("rejects a ratio of second copies that is not between 0 and 1", func() {
+		s, findings := config.Parse("node.yaml", []byte(valid+"hedging: {ratio: 0.05}\n"))
+		Expect(findings).To(BeEmpty())
+		Expect(s.Hedging.Ratio).To(Equal(0.05))
+		_, findings = config.Parse("node.yaml", []byte(valid+"hedging: {ratio: 5}\n"))
+		Expect(findings).To(HaveLen(1))
+		Expect(findings[0].String()).To(Equal("node.yaml:16:18: hedging.ratio: 5 is not between 0 and 1"))
+	})
+
 	It("rejects unknown fields and malformed YAML with their position", func() {
 		_, findings := config.Parse("node.yaml", []byte(valid+"drian: {}\n"))
 		Expect(findings).To(HaveLen(1))
--- a/internal/ingress/hedge.go
+++ b/internal/ingress/hedge.go
@@ -75,6 +75,9 @@
 	return s.req.class.Attempts - (s.sidecarAttempts - s.withdrawals)
 }
 
+// maxTargetsPerVM bounds the search for a target on another VM.
+const maxTargetsPerVM = 8
+
 // pickTarget chooses the target of an attempt. A copy of first prefers a target
 // on another VM, and gets none that is only a fallback.
 func pickTarget(picker *routing.Picker, r routing.Request, first *attempt, now time.Time) (routing.Choice, bool) {
@@ -82,10 +85,16 @@
 	if first == nil || !ok {
 		return choice, ok
 	}
-	if target := choice.Target.Target(); target.Node == first.target.Node {
-		r.Exclude = append(r.Exclude[:len(r.Exclude):len(r.Exclude)], target.ID)
-		if other, ok := picker.Pick(r, random(), now); ok {
+	other := choice
+	for range maxTargetsPerVM {
+		target := other.Target.Target()
+		if target.Node != first.target.Node {
 			choice = other
+			break
+		}
+		r.Exclude = append(r.Exclude[:len(r.Exclude):len(r.Exclude)], target.ID)
+		if other, ok = picker.Pick(r, random(), now); !ok || other.Reason == routing.ReasonFallback {
+			break
 		}
 	}
 	return choice, choice.Reason != routing.ReasonFallback
--- a/internal/ingress/hedge_test.go
+++ b/internal/ingress/hedge_test.go
@@ -218,6 +218,21 @@
 		Expect(scrape(s)).To(ContainSubstring(`siskinvale_hedges_total{result="failed"}`))
 	}, Entry("uncounted refusals", true), Entry("counted refusals", false))
 
+	// Guards against a copy that hangs together with the first attempt because
+	// their VM is in trouble.
+	It("prefers a target on another VM", func() {
+		remote := firstAndCopy(afterwards(slowRun, answered("first")), afterwards(0, answered("copy")))
+		s := newHedgingIngress(remote)
+		s.setTargetsOnNodes(s.in.View().Bundle, 4, 3)
+		for range 10 {
+			before := len(remote.sent())
+			s.send("GET", "/kits/1", "")
+			calls := remote.sent()[before:]
+			Expect(calls).To(HaveLen(2))
+			Expect(calls).To(ContainElement(HaveField("Target", fleet.TargetID("t4"))))
+		}
+	})
+
 	// Guards against additional attempts in place of copies that were not run.
 	It("does not count a copy that a leaving target refused", func() {
 		var attempts atomic.Int64
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -259,14 +259,21 @@
 // setTargets makes the ingress forward to the given number of targets, each
 // beside its own node.
 func (s *testIngress) setTargets(b *bundle.Bundle, targetCount int) {
+	s.setTargetsOnNodes(b, targetCount, 1)
+}
+
+// setTargetsOnNodes places perNode targets beside each node: t1, t2 and so on
+// in this order.
+func (s *testIngress) setTargetsOnNodes(b *bundle.Bundle, targetCount, perNode int) {
 	self := fleet.Node{ID: "self", DataCentre: "dc1"}
 	nodes := map[fleet.NodeID]fleet.Node{}
 	var targets []fleet.Target
 	for i := range targetCount {
 		id := strconv.Itoa(i + 1)
-		nodes[fleet.NodeID("n"+id)] = fleet.Node{ID: fleet.NodeID("n" + id), DataCentre: "dc1"}
+		node := fleet.NodeID("n" + strconv.Itoa(i/perNode+1))
+		nodes[node] = fleet.Node{ID: node, DataCentre: "dc1"}
 		targets = append(targets, fleet.Target{
-			ID: fleet.TargetID("t" + id), Service: "booking", Node: fleet.NodeID("n" + id), DataCentre: "dc1", Slots: 4,
+			ID: fleet.TargetID("t" + id), Service: "booking", Node: node, DataCentre: "dc1", Slots: 4,
 			Started: time.Now().Add(-time.Hour),
 		})
 	}
