--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -48,8 +49,10 @@
       - {name: lookup, idempotent: true, idempotencyKey: none, priority: interactive, length: short, deadline: 500ms, expected: 5ms, attempts: 3, maxBody: 1024}
       - {name: hold, idempotent: false, idempotencyKey: required, priority: interactive, length: short, deadline: 300ms, expected: 5ms, attempts: 1, maxBody: 1024}
       - {name: note, idempotent: false, idempotencyKey: optional, priority: interactive, length: short, deadline: 500ms, expected: 5ms, attempts: 1, maxBody: 100000}
+      - {name: search, idempotent: true, idempotencyKey: none, priority: interactive, length: short, deadline: 500ms, expected: 5ms, attempts: 3, maxBody: 100000}
     routes:
       - {method: GET, path: /kits/:id, class: lookup}
+      - {method: POST, path: /searches, class: search}
       - {method: POST, path: /holds, class: hold}
       - {method: POST, path: /notes, class: note}
 tenants:
@@ -262,20 +265,34 @@
 	change(&cfg)
 	s.config = cfg
 	s.in = ingress.New(cfg)
+	s.setTargets(b, 3)
+	return s
+}
+
+// setTargets makes the ingress forward to the given number of targets, each
+// beside its own node.
+func (s *testIngress) setTargets(b *bundle.Bundle, targetCount int) {
+	s.setTargetsOnNodes(b, targetCount, 1)
+}
+
+// setTargetsOnNodes places perNode targets beside each node: t1, t2 and so on
+// in this order.
+func (s *testIngress) setTargetsOnNodes(b *bundle.Bundle, targetCount, perNode int) {
 	self := fleet.Node{ID: "self", DataCentre: "dc1"}
 	nodes := map[fleet.NodeID]fleet.Node{}
 	var targets []fleet.Target
-	for _, id := range []string{"1", "2", "3"} {
-		nodes[fleet.NodeID("n"+id)] = fleet.Node{ID: fleet.NodeID("n" + id), DataCentre: "dc1"}
+	for i := range targetCount {
+		id := strconv.Itoa(i + 1)
+		node := fleet.NodeID("n" + strconv.Itoa(i/perNode+1))
+		nodes[node] = fleet.Node{ID: node, DataCentre: "dc1"}
 		targets = append(targets, fleet.Target{
-			ID: fleet.TargetID("t" + id), Service: "booking", Node: fleet.NodeID("n" + id), DataCentre: "dc1", Slots: 4,
+			ID: fleet.TargetID("t" + id), Service: "booking", Node: node, DataCentre: "dc1", Slots: 4,
 			Started: time.Now().Add(-time.Hour),
 		})
 	}
 	healthy := func(fleet.TargetID) health.Verdict { return health.Verdict{Share: 1} }
 	picker := routing.NewTable(self, routing.Config{}).Rebuild("booking", targets, healthy, time.Now())
 	s.in.SetView(&ingress.View{Bundle: b, Pickers: map[string]*routing.Picker{"booking": picker}, Nodes: nodes})
-	return s
 }
 
 func (s *testIngress) send(method, path, body string, header ...string) *httptest.ResponseRecorder {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"siskinvale.dev/siskinvale/internal/event"
 	"siskinvale.dev/siskinvale/internal/fleet"
 	"siskinvale.dev/siskinvale/internal/freshness"
+	"siskinvale.dev/siskinvale/internal/hedge"
 	"siskinvale.dev/siskinvale/internal/ingress"
 	"siskinvale.dev/siskinvale/internal/link"
 	"siskinvale.dev/siskinvale/internal/membership"
@@ -130,6 +131,9 @@
 	if n.quotas = newQuotas(n, s.Organisations); n.quotas != nil {
 		ingressConfig.Quotas = n.quotas
 	}
+	if h := s.Hedging; h != nil && h.Ratio > 0 {
+		ingressConfig.Hedger = hedge.New(h.Ratio)
+	}
 	var loans *retryLoans
 	if s.FleetRetryBudget != nil {
 		loans = newRetryLoans(n, s.FleetRetryBudget.Window)
