--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -42,6 +42,7 @@
 	// asked is the number of nodes that were asked for the waiting requests, and
 	// order holds these and the next ones. A nil member is the node itself.
 	asked, ordered int
+	orderedAt      uint64 // generation of the members by which order was computed
 	// rounds is the number of times that the nodes were asked from the first on.
 	rounds int
 	// skipped is set if a node was left out because it did not answer before.
--- a/internal/quota/machine.go
+++ b/internal/quota/machine.go
@@ -160,7 +160,10 @@
 func (m *Machine) begin(now time.Duration, organisation string, d *demand) {
 	d.rounds++
 	d.skipped = false
-	d.asked, d.ordered = 0, m.members.order(d.hash, &d.order)
+	d.asked = 0
+	if d.orderedAt != m.members.generation {
+		d.orderedAt, d.ordered = m.members.generation, m.members.order(d.hash, &d.order)
+	}
 	m.ask(now, organisation, d)
 }
 
--- a/internal/quota/members.go
+++ b/internal/quota/members.go
@@ -64,7 +64,7 @@
 func newMembers(self fleet.NodeID, alone bool, now time.Duration) *members {
 	return &members{
 		self: self, hash: nodeHash(self), byID: make(map[fleet.NodeID]*member), alone: alone,
-		lost: make(map[uint32]time.Duration), joinedAt: now, accrueFrom: now, heardAt: now, recountAt: now,
+		lost: make(map[uint32]time.Duration), joinedAt: now, accrueFrom: now, heardAt: now, recountAt: now, generation: 1,
 		scaleNow: 1, raisedFrom: 1, raisedAt: never,
 	}
 }
@@ -87,7 +87,10 @@
 // nodeChanged takes a new or changed membership record into account.
 func (m *members) nodeChanged(now time.Duration, n fleet.Node) {
 	if n.ID == m.self {
-		m.leaving = n.State == fleet.NodeLeaving
+		if leaving := n.State == fleet.NodeLeaving; leaving != m.leaving {
+			m.leaving = leaving
+			m.generation++
+		}
 		return
 	}
 	known := m.byID[n.ID]
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -338,6 +338,17 @@
 		Expect(w.Decided).To(Receive(HaveField("Unknown", true)))
 	})
 
+	// Guards against a single node that waits for others.
+	It("grants the quota at once on the only node", func() {
+		q := bundle.Quota{RequestsPerSecond: 1, Burst: 1}
+		m := New("a", true, Config{Window: time.Second}, func(string) (bundle.Quota, bool) { return q, true }, 0)
+		for _, granted := range []bool{true, false} {
+			_, w, sends := m.Take(2*time.Second, "org", q)
+			Expect(sends).To(BeEmpty())
+			Expect(w.Decided).To(Receive(HaveField("Granted", granted)))
+		}
+	})
+
 	// Guards against a caller that left and whose place is granted later.
 	It("keeps a grant for a request that was abandoned or did not run", func() {
 		s := newSim(6, 3, testConfig, bundle.Quota{RequestsPerSecond: 1, Burst: 1})
