Show quotas to operators and test the owner's tokens directly

Cause: siskinvalectl said nothing about quotas. Faults that were put into a scratch copy (tokens kept over lost contact, tokens of a successor, no delay before a node counts as alive, no relay) were found only by many schedules.

Change: siskinvalectl explain shows the quota, the nodes that decide on it and what is left at the owner. Specs for these faults; the simulation collects decisions of requests that are made between events.

--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -121,6 +121,7 @@
 			class.Name, class.Idempotent, class.IdempotencyKey, class.Priority, class.Length, class.Deadline, class.Attempts),
 		fmt.Sprintf("tenant %q: %g requests/s on this node, burst %g, weight %d",
 			req.GetTenant(), limit.RequestsPerSecond, limit.Burst, limit.Weight))
+	resp.Lines = append(resp.Lines, s.node.quotas.describe(req.GetTenant(), view.Bundle.Quota(req.GetTenant()))...)
 	if key := req.GetIdempotencyKey(); key != "" && !class.Idempotent {
 		resp.Lines = append(resp.Lines, s.explainOwner(service.Name, req.GetTenant(), key))
 		return resp, nil
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -204,6 +205,37 @@
 	q.machine.Alone()
 }
 
+// describe returns lines for operators about the quota of an organisation.
+func (q *quotas) describe(organisation string, limit bundle.Quota) []string {
+	if limit == (bundle.Quota{}) {
+		return nil
+	}
+	lines := []string{fmt.Sprintf("quota of organisation %s: %g requests/s, burst %g, through all nodes together",
+		organisation, limit.RequestsPerSecond, limit.Burst)}
+	if q == nil {
+		return append(lines, "this node does not enforce quotas: organisations.quotaWindow is not set")
+	}
+	q.mu.Lock()
+	d := q.machine.Describe(bootTime(), organisation)
+	q.mu.Unlock()
+	lines = append(lines, fmt.Sprintf("nodes that decide on the quota, the owner first: %s", joinIDs(d.Order)))
+	if d.Scale < 1 {
+		lines = append(lines, fmt.Sprintf("other nodes failed and may be cut off: only %.2f of the quota is granted", d.Scale))
+	}
+	if d.Owner {
+		lines = append(lines, fmt.Sprintf("this node owns the quota and could grant %d requests at once", int(d.Tokens)))
+	}
+	return lines
+}
+
+func joinIDs(ids []fleet.NodeID) string {
+	names := make([]string, len(ids))
+	for i, id := range ids {
+		names[i] = string(id)
+	}
+	return strings.Join(names, ", ")
+}
+
 // start lets the machine send datagrams.
 func (q *quotas) start(t *membership.Transport) {
 	if q != nil {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -282,6 +282,50 @@
 		Expect(s.unknown["org"]).To(BeNumerically(">", 0))
 	})
 
+	// Guards against a burst that an owner, or its successor, grants although the
+	// other may have granted it.
+	DescribeTable("does not use the tokens of the time", func(rank int, stop func(*sim, *simNode)) {
+		s := newSim(5, 10, testConfig, bundle.Quota{RequestsPerSecond: 50, Burst: 200})
+		s.runUntil(8 * time.Second)
+		ranked := s.ranked("org")
+		stop(s, ranked[0])
+		s.runUntil(11 * time.Second)
+		s.heal()
+		s.runUntil(s.now + 700*ms)
+		for range 200 {
+			s.request(ranked[rank], "org")
+		}
+		s.runUntil(s.now + 50*ms)
+		Expect(len(s.granted["org"])).To(And(BeNumerically(">", 0), BeNumerically("<=", 150)))
+	},
+		Entry("in which its process was stopped", 0, func(s *sim, n *simNode) {
+			n.group = 1
+			s.notice(n)
+		}),
+		Entry("before it took the place of a dead owner", 1, (*sim).kill),
+	)
+
+	// Guards against parts of a divided fleet that speed up before the owners of
+	// other parts have stopped, and that keep the whole burst for later.
+	It("raises its rate a second after the fleet is whole again, without a burst", func() {
+		s := newSim(5, 10, testConfig, bundle.Quota{RequestsPerSecond: 10, Burst: 200})
+		s.runUntil(30 * time.Second)
+		ranked := s.ranked("org")
+		m := ranked[0].machine
+		for range 100 {
+			s.request(ranked[0], "org")
+		}
+		s.divide(ranked[5:], 1)
+		s.runUntil(34 * time.Second)
+		s.heal()
+		s.runUntil(s.now + 950*ms)
+		Expect(m.members.scaleNow).To(Equal(0.5))
+		s.runUntil(s.now + time.Second)
+		d := m.Describe(s.now, "org")
+		Expect(d.Scale).To(Equal(1.0))
+		Expect(d.Tokens).To(BeNumerically("<=", 150))
+	})
+
 	// Guards against a node that starts in one part of a divided fleet, does not
 	// know of the other part and grants the whole quota.
 	It("grants a part of the quota if it starts while other nodes are cut off", func() {
@@ -294,7 +338,11 @@
 		s.start(first)
 		s.join(first)
 		s.runUntil(12 * time.Second)
-		Expect(first.machine.members.scaleNow).To(Equal(0.5))
+		d := first.machine.Describe(s.now, "org")
+		Expect(d.Scale).To(Equal(0.5))
+		Expect(d.Order[0]).To(Equal(first.id))
+		Expect(d.Owner).To(BeTrue())
+		Expect(d.Tokens).To(BeNumerically("<=", 25+testConfig.share(s.quota("org")).prefetch))
 	})
 
 	// Guards against grants in advance to many nodes that are used together with
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -127,11 +127,10 @@
 		e := heap.Pop(&s.queue).(simEvent)
 		s.now = e.at
 		e.f()
-		for _, n := range s.nodes {
-			s.collect(n)
-		}
+		s.collectAll()
 	}
 	s.now = end
+	s.collectAll()
 }
 
 func (s *sim) between(low, high time.Duration) time.Duration {
@@ -318,6 +317,12 @@
 	}
 }
 
+func (s *sim) collectAll() {
+	for _, n := range s.nodes {
+		s.collect(n)
+	}
+}
+
 func (s *sim) collect(n *simNode) {
 	n.pending = slices.DeleteFunc(n.pending, func(p pendingRequest) bool {
 		select {
