--- a/internal/freshness/machine.go
+++ b/internal/freshness/machine.go
@@ -24,7 +24,7 @@
 	avoidPeer = 2 * time.Second
 	// readInterval is the time after the first read of the platform without a
 	// confirmation until the second, before jitter. maxReadInterval applies to
-	// further ones: while a node is cut off, only a few of them are of use.
+	// further ones, because a node that is cut off has no use for many calls.
 	readInterval    = time.Second
 	maxReadInterval = 2 * time.Second
 	// maxPlausibleAge bounds the ages in answers, so that a malformed one does
@@ -88,9 +88,9 @@
 
 	nextRead time.Duration // 0 while no read is scheduled
 	lastRead time.Duration
-	// vainReads is the number of reads since the confirmation became too old.
-	vainReads int
-	stats    Stats
+	// unconfirmedReads is the number of reads since the confirmation became too old.
+	unconfirmedReads int
+	stats     Stats
 }
 
 type peerState struct {
@@ -260,7 +260,7 @@
 func (m *Machine) advance() {
 	m.expireQueries()
 	if !m.required {
-		m.nextRead, m.vainReads, m.expired = 0, 0, 0
+		m.nextRead, m.unconfirmedReads, m.expired = 0, 0, 0
 		return
 	}
 	m.ask()
@@ -376,7 +376,7 @@
 	}
 	switch {
 	case age < limit:
-		m.nextRead, m.vainReads = 0, 0
+		m.nextRead, m.unconfirmedReads = 0, 0
 	case m.nextRead == 0:
 		m.nextRead = m.now + time.Duration(m.random.Int64N(int64(m.part(readSpread))+1))
 		if m.stats.Reads > 0 {
@@ -384,7 +384,7 @@
 		}
 	case m.now >= m.nextRead:
 		interval := readInterval
-		if m.vainReads++; m.vainReads > 1 {
+		if m.unconfirmedReads++; m.unconfirmedReads > 1 {
 			interval = maxReadInterval
 		}
 		m.lastRead, m.nextRead = m.now, m.now+m.jitter(interval)
