--- a/internal/freshness/machine.go
+++ b/internal/freshness/machine.go
@@ -90,7 +90,7 @@
 	lastRead time.Duration
 	// unconfirmedReads is the number of reads since the confirmation became too old.
 	unconfirmedReads int
-	stats     Stats
+	stats            Stats
 }
 
 type peerState struct {
