Log the organisation of refused and served requests

Cause: events 5201, 5206 and 5207 did not tell whose request it was, so that the requests of an organisation at its quota could not be counted by time. Change: they carry the organisation's name.

--- a/internal/ingress/front_end.go
+++ b/internal/ingress/front_end.go
@@ -138,7 +138,7 @@
 // logRefusal logs why a request got no answer from a target.
 func (in *Ingress) logRefusal(req *request, p *problem) {
 	in.cfg.Log.Log(event.RequestRefused, event.Fields{
-		"request": req.id, "service": req.service, "class": req.classLabel(), "outcome": p.outcome.String(),
+		"request": req.id, "service": req.service, "class": req.classLabel(), "tenant": req.tenantLabel(), "outcome": p.outcome.String(),
 		"status": p.status, "reason": p.detail, "after_ms": in.cfg.Clock().Sub(req.received).Milliseconds(),
 		"version": in.bundleVersion(),
 	})
@@ -152,7 +152,7 @@
 		e = event.RequestFailed
 	}
 	in.cfg.Log.Log(e, event.Fields{
-		"request": req.id, "service": req.service, "class": req.classLabel(), "target": reply.Target, "status": reply.Status,
+		"request": req.id, "service": req.service, "class": req.classLabel(), "tenant": req.tenantLabel(), "target": reply.Target, "status": reply.Status,
 		"idempotent": req.class.Idempotent, "nested": req.nested, "after_ms": in.cfg.Clock().Sub(req.received).Milliseconds(), "version": in.bundleVersion(),
 	})
 }
