--- a/internal/bundle/organisation_test.go
+++ b/internal/bundle/organisation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -63,6 +64,13 @@
 	)
 })
 
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // BenchmarkOrganisation measures the lookup of an organisation among 250,000
 // with 1,000,000 keys, and reports the memory of the index.
 func BenchmarkOrganisation(b *testing.B) {
@@ -74,11 +82,14 @@
 			named[i].Keys = append(named[i].Keys, HashKey(fmt.Sprintf("key-%d-%d", i, k)))
 		}
 	}
+	before := heapBytes()
 	bundle := NewHostRouted("bench", 1, nil, nil, named)
+	indexBytes := heapBytes() - before
 	b.ReportAllocs()
 	for b.Loop() {
 		if bundle.Organisation("key-123456-2") == nil {
 			b.Fatal("not found")
 		}
 	}
+	b.ReportMetric(float64(indexBytes)/(organisations*keysEach), "index-bytes/key")
 }
