--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -1,7 +1,9 @@
 package hedge_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -13,6 +15,15 @@
 )
 
 func TestHedge(t *testing.T) {
+	// A fixed seed makes rapid generate the same cases on every run; a soak plays
+	// many more, from a new seed.
+	name, value := "rapid.seed", "20261206"
+	if os.Getenv("SISKINVALE_SOAK") != "" {
+		name, value = "rapid.checks", "5000"
+	}
+	if err := flag.Set(name, value); err != nil {
+		t.Fatal(err)
+	}
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "hedge")
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"runtime"
 	"slices"
 	"testing"
@@ -16,6 +18,15 @@
 )
 
 func TestQuota(t *testing.T) {
+	// A fixed seed makes rapid generate the same cases on every run; a soak plays
+	// many more, from a new seed.
+	name, value := "rapid.seed", "20261206"
+	if os.Getenv("SISKINVALE_SOAK") != "" {
+		name, value = "rapid.checks", "20000"
+	}
+	if err := flag.Set(name, value); err != nil {
+		t.Fatal(err)
+	}
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "quota")
 }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -1,6 +1,8 @@
 package retry_test
 
 import (
+	"flag"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +17,15 @@
 )
 
 func TestRetry(t *testing.T) {
+	// A fixed seed makes rapid generate the same cases on every run; a soak plays
+	// many more, from a new seed.
+	name, value := "rapid.seed", "20261206"
+	if os.Getenv("SISKINVALE_SOAK") != "" {
+		name, value = "rapid.checks", "5000"
+	}
+	if err := flag.Set(name, value); err != nil {
+		t.Fatal(err)
+	}
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "retry")
 }
