--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -9,13 +9,13 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
 	"siskinvale.dev/siskinvale/internal/bundle"
 	"siskinvale.dev/siskinvale/internal/config"
 	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
 	"siskinvale.dev/siskinvale/internal/fleet"
+	"siskinvale.dev/siskinvale/internal/freshness"
 	"siskinvale.dev/siskinvale/internal/ingress"
 	"siskinvale.dev/siskinvale/internal/membership"
 	"siskinvale.dev/siskinvale/internal/metric"
@@ -52,20 +52,10 @@
 	limits := quota.Config{Window: o.QuotaWindow, Excess: o.QuotaExcess, Slack: o.QuotaSlack}
 	// With an adapter, discovery finds out whether there are other nodes.
 	alone := n.adapter == nil && len(n.seeds()) == 0
-	q.machine = quota.New(n.self.ID, alone, limits, q.lookup, bootTime())
+	q.machine = quota.New(n.self.ID, alone, limits, q.lookup, freshness.BootTime())
 	return q
 }
 
-// bootTime returns the time since the VM was started, including the time in
-// which it was suspended.
-func bootTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		panic(fmt.Sprintf("read the boot clock: %v", err)) // every supported kernel has it
-	}
-	return time.Duration(t.Nano())
-}
-
 func (q *quotas) lookup(organisation string) (bundle.Quota, bool) {
 	b := q.bundle.Load()
 	if b == nil {
@@ -77,7 +67,7 @@
 // Take implements ingress.Quotas.
 func (q *quotas) Take(ctx context.Context, organisation string, limit bundle.Quota) ingress.QuotaDecision {
 	q.mu.Lock()
-	decision, waiter, sends := q.machine.Take(bootTime(), organisation, limit)
+	decision, waiter, sends := q.machine.Take(freshness.BootTime(), organisation, limit)
 	sends = slices.Clone(sends)
 	q.mu.Unlock()
 	if waiter == nil {
@@ -104,7 +94,7 @@
 func (q *quotas) Return(organisation string, d ingress.QuotaDecision) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.machine.Return(bootTime(), organisation, quota.Decision(d))
+	q.machine.Return(freshness.BootTime(), organisation, quota.Decision(d))
 }
 
 // receive handles a datagram. It reports whether the datagram was for the quota
@@ -114,7 +104,7 @@
 	if q == nil {
 		return query != nil || answer != nil
 	}
-	now := bootTime()
+	now := freshness.BootTime()
 	if now-time.Duration(q.heardAt.Load()) >= heardInterval || query != nil {
 		q.heardAt.Store(int64(now))
 		q.mu.Lock()
@@ -144,7 +134,7 @@
 		return
 	}
 	q.mu.Lock()
-	sends := slices.Clone(q.machine.Tick(bootTime()))
+	sends := slices.Clone(q.machine.Tick(freshness.BootTime()))
 	q.mu.Unlock()
 	q.send(sends)
 }
@@ -185,7 +175,7 @@
 	} else {
 		delete(q.remoteAddrs, n.PeerAddr)
 	}
-	q.machine.NodeChanged(bootTime(), n)
+	q.machine.NodeChanged(freshness.BootTime(), n)
 }
 
 // setBundle takes the bundle in force into account.
@@ -216,7 +206,7 @@
 		return append(lines, "this node does not enforce quotas: organisations.quotaWindow is not set")
 	}
 	q.mu.Lock()
-	d := q.machine.Describe(bootTime(), organisation)
+	d := q.machine.Describe(freshness.BootTime(), organisation)
 	q.mu.Unlock()
 	lines = append(lines, fmt.Sprintf("nodes that decide on the quota, the owner first: %s", joinIDs(d.Order)))
 	if d.Scale < 1 {
@@ -249,7 +239,7 @@
 		return
 	}
 	q.mu.Lock()
-	sends := slices.Clone(q.machine.Sweep(bootTime()))
+	sends := slices.Clone(q.machine.Sweep(freshness.BootTime()))
 	q.mu.Unlock()
 	q.send(sends)
 }
