Share slots between organisations by weight on the platform

Callers of large organisations waited behind each small one: with a dialect, the sidecar gave every organisation the weight 1, although organisations are known there since the ingress identifies them.

Change: the weight is that of the bundle in force at the sidecar, which the adapter takes from the organisation's rate. Requests without an organisation weigh as much as an average one. Tests of sidecar, bundle and admission pass.

--- a/internal/bundle/host.go
+++ b/internal/bundle/host.go
@@ -45,7 +45,9 @@
 // alone. It is used for configurations that are not written as bundle YAML.
 // An organisation without a rate limit of its own has none on a single node.
 func NewHostRouted(name string, version uint64, services []Service, routes []HostRoute, organisations []NamedLimit) *Bundle {
+	weights := 0
 	for i := range organisations {
+		weights += organisations[i].Weight
 		if limit := &organisations[i].Limit; limit.RequestsPerSecond == 0 {
 			limit.RequestsPerSecond, limit.Burst = Unlimited, Unlimited
 		}
@@ -53,7 +55,8 @@
 	b := &Bundle{
 		Name: name, Version: version, Services: services, Hosts: routes,
 		Tenants: Tenants{
-			Default:     Limit{RequestsPerSecond: Unlimited, Burst: Unlimited, Weight: 1},
+			// Requests without an organisation share room like an average one.
+			Default:     Limit{RequestsPerSecond: Unlimited, Burst: Unlimited, Weight: max(weights/max(len(organisations), 1), 1)},
 			RequireKeys: len(organisations) > 0, Named: organisations,
 		},
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -334,6 +334,9 @@
 			Deadline: s.clock().Add(call.Timeout), Expected: params.Expected, Weight: 1,
 			Nested: call.Nested, Waited: call.Waited,
 		}
+		if b != nil {
+			item.Weight = b.Limit(call.Tenant).Weight
+		}
 		if call.Objective > 0 {
 			item.Objective = s.clock().Add(call.Objective)
 		}
