--- a/review/standins-2/case_held.go
+++ b/review/standins-2/case_held.go
@@ -114,7 +114,7 @@
 					s.failed++
 				}
 				mu.Unlock()
-				if a.err != nil || strings.EqualFold(a.header.Get("Connection"), "close") {
+				if a.err != nil || a.closes {
 					c.close()
 					c = nil
 				}
--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -36,6 +36,7 @@
 	body      string
 	signature string
 	err       error
+	closes    bool // the connection ends with this answer
 	took      time.Duration
 }
 
@@ -99,7 +100,7 @@
 	if err == nil && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		err = errors.New("the answer has no length")
 	}
-	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), signature: resp.Header.Get(headerSignature), err: err}
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), signature: resp.Header.Get(headerSignature), err: err, closes: resp.Close}
 }
 
 // sendOnce sends a request on a connection of its own.
