review: case 6 with the site's classes and a short rush

Disruption: the final fault kill_all, then servers that answer 1.2% of their requests with 500. The first form needed 4,000 requests a second all the time.

--- a/review/standins-2/case_held.go
+++ b/review/standins-2/case_held.go
@@ -14,7 +14,8 @@
 )
 
 const heldConfig = `{"version":7,"resources":[
-{"resource_kind":"routes","metadata":{"name":"pack"},"spec":{"host":"a.example","path_prefix":"/pack/","type":"download","timeout_ms":3000,"target_latency_ms":1000,"priority":1,"service":"alpha","max_attempts":2}},
+{"resource_kind":"routes","metadata":{"name":"pack-fetch"},"spec":{"host":"a.example","path_prefix":"/pack/","type":"download","timeout_ms":4000,"target_latency_ms":1000,"priority":2,"service":"alpha","max_attempts":2}},
+{"resource_kind":"routes","metadata":{"name":"reveal-spend"},"spec":{"host":"a.example","path_prefix":"/spend/","type":"non_idempotent","timeout_ms":4000,"target_latency_ms":1000,"priority":1,"service":"alpha","max_attempts":2}},
 {"resource_kind":"services","metadata":{"name":"alpha"},"spec":{"health_path":"/healthz","max_connections":330,"protocol":"h1","tls":false}},
 {"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}]}`
 
@@ -22,24 +23,36 @@
 	// heldErrorShare is the site's error_share: the part of its requests that a
 	// sound server answers with 500.
 	heldErrorShare = 0.012
-	// heldErrorBytes is the site's mean size of an answer to a download, and
-	// heldSmallBytes that of the shortest answers.
-	heldErrorBytes = 90_000
+	// Failed downloads are as large as others: between the site's mean and its
+	// maximum. heldSmallBytes is the size of the shortest ones.
+	heldMeanBytes  = 90_000
+	heldMostBytes  = 540_000
 	heldSmallBytes = 200
-	// The sizes of requests' bodies are those of the site: logarithmically normal.
+	// The sizes of the bodies of reveals are those of the site: logarithmically
+	// normal.
 	heldBodyMean   = 4_000
 	heldBodySpread = 0.6
 	heldBodyMax    = 24_000
-	heldClients    = 24
-	heldPause      = 6 * time.Millisecond
-	heldRecovery   = 15 * time.Second // recovery_s
-	heldErrorsEnd  = 60 * time.Second // after the machines are back
-	heldEnd        = 92 * time.Second
+	// heldPackShare is the part of downloads among the downloads and reveals of
+	// the site.
+	heldPackShare = 0.73 / (0.73 + 6.1)
+
+	heldRecovery = 15 * time.Second // recovery_s
+	// For heldRush after the machines are back, each of heldRushClients sends a
+	// download each heldRushPause. Before and afterwards, each of heldClients sends one
+	// request each heldPause, downloads and reveals in the site's proportion.
+	heldRush        = 14 * time.Second
+	heldRushClients = 32
+	heldRushPause   = 10 * time.Millisecond
+	heldClients     = 8
+	heldPause       = 40 * time.Millisecond
+	heldErrorsEnd   = 40 * time.Second // after the machines are back
+	heldEnd         = 60 * time.Second
 )
 
 func init() { cases["held"] = playHeld }
 
-// playHeld lets clients of one machine send idempotent requests to servers that
+// playHeld lets clients of one machine send downloads and reveals to servers that
 // answer a small part of them with 500, after a final fault that has killed all
 // processes.
 func playHeld(rec *record, trouble bool) (verdict, error) {
@@ -53,7 +66,7 @@
 	rec.quiet = true // hundreds of thousands of requests: only counts are written
 	var failing atomic.Bool
 	var failures atomic.Int64
-	page := strings.Repeat("e", heldErrorBytes)
+	page := strings.Repeat("e", heldMostBytes)
 	for _, m := range f.machines {
 		s := m.server
 		s.setWork(func(*http.Request) time.Duration { return time.Millisecond })
@@ -62,15 +75,16 @@
 				return true, false
 			}
 			failures.Add(1)
-			if rand.IntN(4) == 0 {
+			if rand.IntN(3) == 0 {
 				// Short and long answers are equally frequent on a logarithmic scale.
-				text := page[:int(heldSmallBytes*math.Pow(heldErrorBytes/heldSmallBytes, rand.Float64()))]
+				text := page[:int(heldSmallBytes*math.Pow(heldMeanBytes/heldSmallBytes, rand.Float64()))]
 				_, err := fmt.Fprintf(conn, "%s%s: %s\r\n\r\n%s", s.head(http.StatusInternalServerError, r, len(text)), headerSignature, s.signature(r, text), text)
 				return err == nil, true
 			}
 			// The answer has no length and ends with its connection.
+			text := page[:heldMeanBytes+rand.IntN(heldMostBytes-heldMeanBytes)]
 			head := strings.Replace(s.head(http.StatusInternalServerError, r, 0), "Content-Length: 0\r\n", "Connection: close\r\n", 1)
-			fmt.Fprintf(conn, "%s%s: %s\r\n\r\n%s", head, headerSignature, s.signature(r, page), page)
+			fmt.Fprintf(conn, "%s%s: %s\r\n\r\n%s", head, headerSignature, s.signature(r, text), text)
 			return false, true
 		}
 	}
@@ -86,24 +100,35 @@
 	var clients sync.WaitGroup
 	front := f.machines[0]
 	body := strings.Repeat("b", heldBodyMax)
-	for range heldClients {
+	pack := func() request {
+		return request{method: http.MethodGet, host: "a.example", path: "/pack/1", deadline: 4 * time.Second, id: newID()}
+	}
+	any := func() request {
+		if rand.Float64() < heldPackShare {
+			return pack()
+		}
+		size := heldBodyMean * math.Exp(heldBodySpread*rand.NormFloat64()-heldBodySpread*heldBodySpread/2)
+		return request{method: http.MethodPost, host: "a.example", path: "/spend/1", deadline: 4 * time.Second, id: newID(), body: body[:int(min(size, heldBodyMax))]}
+	}
+	// send sends requests on kept connections until ended is set.
+	send := func(ended *atomic.Bool, pause time.Duration, next func() request) {
 		clients.Go(func() {
 			var c *client
-			for next := time.Now(); !stop.Load(); {
-				time.Sleep(time.Until(next))
-				next = time.Now().Add(heldPause)
+			for at := time.Now(); !ended.Load(); {
+				time.Sleep(time.Until(at))
+				at = time.Now().Add(pause)
 				if c == nil {
+					var err error
 					if c, err = f.dial(front); err != nil {
 						c = nil
 						time.Sleep(50 * time.Millisecond)
 						continue
 					}
 				}
-				size := heldBodyMean * math.Exp(heldBodySpread*rand.NormFloat64()-heldBodySpread*heldBodySpread/2)
-				at := int(time.Since(begin).Seconds())
-				a := c.exchange(request{method: http.MethodPost, host: "a.example", path: "/pack/1", deadline: 3 * time.Second, id: newID(), body: body[:int(min(size, heldBodyMax))]})
+				second := int(time.Since(begin).Seconds())
+				a := c.exchange(next())
 				mu.Lock()
-				s := &seconds[at]
+				s := &seconds[second]
 				s.sent++
 				switch {
 				case a.err == nil && a.status == http.StatusOK && a.signature != "":
@@ -124,6 +149,9 @@
 			}
 		})
 	}
+	for range heldClients {
+		send(&stop, heldPause, any)
+	}
 	time.Sleep(4 * time.Second)
 	fault := time.Since(begin)
 	if trouble {
@@ -146,8 +174,15 @@
 	}
 	back := time.Since(begin)
 	rec.event("machines-back")
+	var rushEnded atomic.Bool
+	for range heldRushClients {
+		send(&rushEnded, heldRushPause, pack)
+	}
 	for elapsed := time.Duration(0); elapsed < heldEnd; elapsed = time.Since(begin) - back {
-		time.Sleep(2 * time.Second)
+		time.Sleep(time.Second)
+		if time.Since(begin)-back > heldRush-time.Second && !rushEnded.Swap(true) {
+			rec.event("rush-ends")
+		}
 		if elapsed > heldErrorsEnd && failing.Swap(false) {
 			rec.event("errors-end")
 		}
