Refuse bytes that are no HTTP answer before anything else reads them

Cause: net/http returns answers with any status of three digits, any version and names that are no tokens. The dialect took every status that is no success and no promise for an executed request; on the HTTP/2 link a 1xx is an interim header and the final status becomes 200.

Interim answers and trailers are checked as well; with the trace that this needs, net/http bounds interim answers no longer, so their number is limited. An answer of the store needs a length or chunks; a write that gets bytes that are no answer is uncertain instead of refused.

--- a/internal/link/replay.go
+++ b/internal/link/replay.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
+
+	"siskinvale.dev/siskinvale/internal/answer"
 )
 
 // PreventReplay keeps http.Transport from retrying req on its own.
@@ -34,13 +38,16 @@
 type SentTrace struct {
 	sent   atomic.Bool
 	reused atomic.Bool
-	conn   atomic.Pointer[net.Conn]
+	// interim counts the interim answers.
+	interim atomic.Int32
+	conn    atomic.Pointer[net.Conn]
 }
 
 // Context returns a context for the request that is to be traced.
 func (t *SentTrace) Context(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { t.sent.Store(true) },
+		WroteHeaders:   func() { t.sent.Store(true) },
+		Got1xxResponse: t.checkInterim,
 		GotConn: func(info httptrace.GotConnInfo) {
 			t.conn.Store(&info.Conn)
 			t.reused.Store(info.Reused)
@@ -48,6 +55,20 @@
 	})
 }
 
+// maxInterimAnswers is the number of interim answers to one request. With a
+// trace, net/http allows any number of them.
+const maxInterimAnswers = 8
+
+// checkInterim ends a request whose interim answers do not end, or have a header
+// that no answer has: the final answer cannot be trusted then. Interim answers
+// are not passed on.
+func (t *SentTrace) checkInterim(_ int, header textproto.MIMEHeader) error {
+	if t.interim.Add(1) > maxInterimAnswers {
+		return fmt.Errorf("%w: it has more than %d interim answers", answer.ErrNotAnswer, maxInterimAnswers)
+	}
+	return answer.CheckHeader(http.Header(header))
+}
+
 // CloseConn closes the connection that carried the request, so that
 // http.Transport does not reuse it.
 func (t *SentTrace) CloseConn() {
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"siskinvale.dev/siskinvale/internal/answer"
 )
 
 const (
@@ -243,6 +245,10 @@
 	if err != nil {
 		return nil, nil, c.countResult(transportError(k, err))
 	}
+	if err := checkAnswer(resp); err != nil {
+		resp.Body.Close()
+		return nil, nil, c.countResult(transportError(k, err))
+	}
 	defer drainAndClose(resp)
 	if err := c.statusError(k, resp); err != nil {
 		return nil, nil, c.countResult(err)
@@ -272,6 +278,18 @@
 	return req, nil
 }
 
+// checkAnswer returns an error if resp is no answer or if the end of its body
+// could not be recognised.
+func checkAnswer(resp *http.Response) error {
+	if err := answer.Check(resp); err != nil {
+		return err
+	}
+	if !answer.Framed(resp) {
+		return errors.New("the answer has no length and no chunks")
+	}
+	return nil
+}
+
 // transportError classifies a call that got no answer. A write is known to have
 // had no effect only if its connection was never established.
 func transportError(k callKind, err error) error {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"siskinvale.dev/siskinvale/internal/admission"
+	"siskinvale.dev/siskinvale/internal/answer"
 	"siskinvale.dev/siskinvale/internal/event"
 	"siskinvale.dev/siskinvale/internal/fleet"
 	"siskinvale.dev/siskinvale/internal/link"
@@ -296,6 +297,13 @@
 		end(outcomeOfError(ctx, err), err.Error())
 		return transportErrorReply(ctx, call, err, sent.Sent())
 	}
+	if err := answer.Check(resp); err != nil {
+		sent.CloseConn()
+		resp.Body.Close()
+		end(truncated, err.Error())
+		return link.MayHaveRun(call, err.Error())
+	}
+	resp.Body = answer.Body(resp)
 	kind := Executed
 	if t.dialect != nil {
 		kind = t.dialect.Classify(resp, *t.record(), call, sent.Reused())
@@ -310,7 +318,7 @@
 		resp.Body.Close()
 		end(truncated, "foreign answer")
 		return link.MayHaveRun(call, reasonOtherRequest)
-	} else if !framed(resp, req.Method) {
+	} else if !answer.Framed(resp) {
 		resp.Body.Close()
 		end(truncated, "unframed")
 		return link.MayHaveRun(call, "the target's answer has no length and no chunks, so its end cannot be recognised")
@@ -407,15 +415,6 @@
 	return opaque, query
 }
 
-// framed reports whether the end of the answer can be recognised. If the close
-// of the connection ends a body, a truncated body looks complete.
-func framed(resp *http.Response, method string) bool {
-	if resp.ContentLength >= 0 || method == http.MethodHead || resp.ProtoMajor >= 2 {
-		return true
-	}
-	return len(resp.TransferEncoding) > 0
-}
-
 func transportErrorReply(ctx context.Context, call *link.Call, err error, sent bool) *link.Reply {
 	switch {
 	case !sent && ctx.Err() != nil:
