Report the end of a connection to a target as an error after a reset

Callers saw a part of an answer as the whole: the target answered a long upload at once without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to the read or the write that comes first. When the write of the upload got it, the next read returned the end of the stream, and an answer without a length ends with its connection.

Change: at the end of a stream, connections to targets ask the kernel for the connection's state. After a reset it is closed; after an end in order it is not.

"A connection of DetectResets" fails when the check is taken out.

--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -14,6 +14,7 @@
 
 	"siskinvale.dev/siskinvale/internal/admission"
 	"siskinvale.dev/siskinvale/internal/answer"
+	"siskinvale.dev/siskinvale/internal/conn"
 	"siskinvale.dev/siskinvale/internal/event"
 	"siskinvale.dev/siskinvale/internal/fleet"
 	"siskinvale.dev/siskinvale/internal/link"
@@ -96,7 +97,7 @@
 		loggedTrusted: true,
 		client: &http.Client{
 			Transport: &http.Transport{
-				DialContext:            dialer.DialContext,
+				DialContext:            conn.DetectResets(dialer.DialContext),
 				DisableCompression:     true,
 				MaxIdleConnsPerHost:    info.Slots + spareConnections,
 				IdleConnTimeout:        targetIdleTimeout,
