Keep the statement that a target leaves when its record returns to serving

Cause: Table.entry took every change of a record from draining to serving for an operator's decision and forgot what the target had stated. A new process of the target's node that accepts a late announcement makes the same change, and so does a node that only seemed to leave. A statement was also lost if it came while the target was not listed.

Change: only a newer version of the record from the same process of the node, as Undrain makes it, clears the statement. The statement of an unlisted target is kept while an attempt at it has not ended. The spec on an operator's return now uses the version that Undrain gives the record.

--- a/internal/routing/statement.go
+++ b/internal/routing/statement.go
@@ -55,9 +55,9 @@
 }
 
 // keepStatement keeps the statement of a target that is not listed any more, if
-// it says anything.
+// it says anything or if an attempt that has not ended may still report one.
 func (t *Table) keepStatement(e *entry, now time.Time) {
-	if s := e.endpoint.statement.Load(); s != nil && (s.limit() > 0 || s.leaving.Load()) {
+	if s := e.endpoint.statement.Load(); s != nil && (s.limit() > 0 || s.leaving.Load() || e.endpoint.Outstanding() > 0) {
 		t.unlisted[e.id] = unlistedStatement{s, now}
 	}
 }
--- a/internal/routing/statement_test.go
+++ b/internal/routing/statement_test.go
@@ -145,7 +145,53 @@
 		draining := []fleet.Target{restarted[0], list[1]}
 		draining[0].State = fleet.TargetDraining
 		rebuild(draining)
-		_, ok = picks(rebuild(restarted), list[1].ID)
+		returned := []fleet.Target{restarted[0], list[1]}
+		returned[0].Version++ // as with each change that the target's node makes
+		_, ok = picks(rebuild(returned), list[1].ID)
 		Expect(ok).To(BeTrue())
 	})
+
+	// Guards against a target that leaves and is in use again because its record
+	// goes from draining to serving without an operator: by a late announcement to
+	// a new process of its node, or because its node only seemed to leave.
+	DescribeTable("is not chosen again while its record returns to serving",
+		func(change func(*fleet.Target)) {
+			table := routing.NewTable(ingress("i"), routing.Config{})
+			list := targets("booking", 2)
+			list[0].Incarnation, list[0].Version = 7, 3
+			rebuild := func(first fleet.Target) *routing.Picker {
+				return table.Rebuild("booking", []fleet.Target{first, list[1]}, verdicts{}.of, now)
+			}
+			choice, ok := rebuild(list[0]).Pick(routing.Request{Exclude: []fleet.TargetID{list[1].ID}}, 7, now)
+			Expect(ok).To(BeTrue())
+			choice.Target.SaysLeaving(list[0])
+			draining := list[0]
+			draining.State = fleet.TargetDraining
+			rebuild(draining)
+			change(&draining)
+			draining.State = fleet.TargetServing
+			_, ok = rebuild(draining).Pick(routing.Request{Exclude: []fleet.TargetID{list[1].ID}}, 7, now)
+			Expect(ok).To(BeFalse())
+		},
+		Entry("in a new process of its node", func(t *fleet.Target) { t.Incarnation, t.Version = 8, 4 }),
+		Entry("with the record that it had", func(*fleet.Target) {}),
+	)
+
+	// Guards against a statement that is lost because it comes while the target's
+	// node counts as dead.
+	It("is not chosen again if it says so while it is not listed", func() {
+		table := routing.NewTable(ingress("i"), routing.Config{})
+		list := targets("booking", 2)
+		rebuild := func(list []fleet.Target) *routing.Picker {
+			return table.Rebuild("booking", list, verdicts{}.of, now)
+		}
+		choice, ok := rebuild(list).Pick(routing.Request{Exclude: []fleet.TargetID{list[1].ID}}, 7, now)
+		Expect(ok).To(BeTrue())
+		choice.Target.Begin()
+		rebuild(list[1:])
+		choice.Target.SaysLeaving(list[0])
+		choice.Target.End(fleet.Load{}, true, now)
+		_, ok = rebuild(list).Pick(routing.Request{Exclude: []fleet.TargetID{list[1].ID}}, 7, now)
+		Expect(ok).To(BeFalse())
+	})
 })
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -206,8 +206,7 @@
 			entries.insert(e)
 		}
 		// A target that an operator returns to use has another statement, too.
-		returned := old != nil && old.State == fleet.TargetDraining && target.State == fleet.TargetServing
-		if old == nil || returned || !old.Started.Equal(target.Started) {
+		if old == nil || returnedByOperator(*old, target) || !old.Started.Equal(target.Started) {
 			e.endpoint.statement.Store(t.statementOf(target))
 		}
 		e.endpoint.target.Store(&target)
@@ -216,6 +215,16 @@
 	return e
 }
 
+// returnedByOperator reports whether an operator has returned a draining target
+// to use. The process of its node that took the target out of use then makes a
+// new version of the record. A record that returns to serving in another way
+// says nothing about the target: a new process of the node may not know that the
+// target leaves, and the node may only have seemed to leave.
+func returnedByOperator(old, target fleet.Target) bool {
+	return old.State == fleet.TargetDraining && target.State == fleet.TargetServing &&
+		old.Incarnation == target.Incarnation && target.Version > old.Version
+}
+
 // rank is the rendezvous hash of this ingress and the target; targets with
 // lower ranks are preferred for the subset. All but the lowest 8 bits depend on
 // the target's node only, so that an ingress prefers the same nodes for all
