Do not use a target that may have left before it has been asked

Cause: a new process asks a target that it does not know whether it leaves, but without a configuration, which holds the path of that question, or without an answer within 300 ms, it believed the late heartbeat.

Change: such a heartbeat is acknowledged and has no effect; the next one is checked again.

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -31,8 +31,9 @@
 	Dialect() sidecar.Dialect
 	// TargetRoutes registers the routes on which targets announce themselves.
 	TargetRoutes(e *echo.Echo, local announce.LocalTargets, log *event.Logger)
-	// SaysLeaving asks a target whether it is about to stop.
-	SaysLeaving(ctx context.Context, t fleet.Target, healthPath string) bool
+	// CheckLeaving asks a target by a health check whether it is about to stop.
+	// answered is false if the target itself did not answer before ctx ended.
+	CheckLeaving(ctx context.Context, t fleet.Target, healthPath string) (leaving, answered bool)
 	// ReadinessHandler answers the platform's readiness probes.
 	ReadinessHandler(ready func() bool) http.Handler
 	// ReadConfiguration and WatchConfiguration return the configuration and the
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -61,6 +61,8 @@
 	loads    *loadreport.Relay
 	traffic  datagramTraffic
 	keyLease keyLease
+	// leavingChecks concerns announcements of local targets.
+	leavingChecks leavingChecks
 	// retryLoans is nil without a fleet retry budget.
 	retryLoans *retryLoans
 
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -26,41 +26,17 @@
 	return l.step(announce.LocalRemoved{ID: id})
 }
 
-// leavingCheckTimeout bounds the wait for a target's answer whether it is
-// leaving. A busy target answers late and is taken into use.
-const leavingCheckTimeout = 300 * time.Millisecond
-
+// AnnounceNumbered implements announce.LocalTargets. An announcement that is not
+// believed is acknowledged, but does not put the target into use.
 func (l localTargets) AnnounceNumbered(ctx context.Context, ev announce.LocalAnnounced) error {
-	if l.leftEarlierProcess(ctx, ev) {
+	switch l.checkAnnouncement(ctx, ev) {
+	case announcementLeft:
 		return l.step(announce.LocalLeft{ID: ev.Target.ID, Started: ev.Target.Started})
+	case announcementUnconfirmed:
+		return nil
+	default:
+		return l.step(ev)
 	}
-	return l.step(ev)
-}
-
-// leftEarlierProcess reports whether a target that this process hears from for
-// the first time has told an earlier process of this node that it leaves. Its
-// announcement may have been sent before that and arrive late, so the target
-// itself is asked.
-func (l localTargets) leftEarlierProcess(ctx context.Context, ev announce.LocalAnnounced) bool {
-	c := l.control
-	if c.node.adapter == nil || ev.Sequence <= 1 || ev.Draining {
-		return false
-	}
-	var healthPath string
-	c.runAndWait(func() {
-		if c.bundle == nil || c.targets.HeardFrom(ev.Target) {
-			return
-		}
-		if s := c.bundle.Service(ev.Target.Service); s != nil {
-			healthPath = s.HealthPath
-		}
-	})
-	if healthPath == "" {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, leavingCheckTimeout)
-	defer cancel()
-	return c.node.adapter.SaysLeaving(ctx, ev.Target, healthPath)
 }
 
 func (l localTargets) Leave(_ context.Context, ev announce.LocalLeft) error { return l.step(ev) }
