Bound what a link buffers of an answer that nobody reads

Cause: net/http buffers up to 4 MiB of each HTTP/2 stream, which the budget for held bytes does not count.

Change: the window of a stream is 256 KiB, what a link of 1 Gbit/s carries in a round trip of 2 ms. The window of the connection stays large, so that such answers delay no others.

--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -34,6 +34,12 @@
 // waits earlier.
 const expectContinueTimeout = 5 * time.Second
 
+// answerWindow is how many bytes of one answer the receiving node buffers while
+// its caller does not read. A link of 1 Gbit/s between data centres carries as
+// much in a round trip of 2 ms. The window of the connection stays large, so
+// that answers that nobody reads do not delay the others.
+const answerWindow = 256 << 10
+
 // maxReplyHeadBytes bounds the head of a reply: that of a target's answer and
 // the fields of the link.
 const maxReplyHeadBytes = 128 << 10
@@ -140,8 +146,9 @@
 		IdleConnTimeout:        cfg.IdleTimeout,
 		MaxResponseHeaderBytes: maxReplyHeadBytes,
 		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: cfg.PingInterval,
-			PingTimeout:     cfg.PingTimeout,
+			SendPingTimeout:           cfg.PingInterval,
+			PingTimeout:               cfg.PingTimeout,
+			MaxReceiveBufferPerStream: answerWindow,
 		},
 	}
 }
