Release the first part of an answer together with its reservation

The memory of an ingress exceeded its budget for held bytes beside answers without end: the first part of a large answer gave its reservation back when it had been passed on, but an empty slice kept its array until the answer ended.

Change: the slice is dropped.

--- a/internal/ingress/held.go
+++ b/internal/ingress/held.go
@@ -201,6 +201,7 @@
 	if len(b.prefix) > 0 {
 		n := copy(p, b.prefix)
 		if b.prefix = b.prefix[n:]; len(b.prefix) == 0 {
+			b.prefix = nil // an empty slice would keep the array in memory
 			b.holding.release()
 		}
 		return n, nil
