Keep the end of a stopping node on the monotonic clock

A step of the wall clock during a stop moved the last time at which requests may start: back, and requests started that were cut off at the end; forward, and requests were refused that had enough time.

Change: the announced end keeps its monotonic reading.

Measured: "The end that a node has announced is on the monotonic clock" failed before and passes.

--- a/internal/ingress/ending.go
+++ b/internal/ingress/ending.go
@@ -27,7 +27,9 @@
 
 // ending is the planned end of the node.
 type ending struct {
-	at atomic.Int64 // Unix nanoseconds, valid once announced is done
+	// at is on the monotonic clock, so that a step of the wall clock during the
+	// stop does not move it. It is set once announced is done.
+	at atomic.Pointer[time.Time]
 	// announced is cancelled by EndBy, and cutOff by CutOff.
 	announced, cutOff             context.Context
 	cancelAnnounced, cancelCutOff context.CancelFunc
@@ -43,7 +45,7 @@
 // wait beside other nodes are withdrawn there. Only the first call has an
 // effect.
 func (in *Ingress) EndBy(at time.Time) {
-	if in.ending.at.CompareAndSwap(0, at.UnixNano()) {
+	if in.ending.at.CompareAndSwap(nil, &at) {
 		in.ending.cancelAnnounced()
 	}
 }
@@ -59,7 +61,7 @@
 		return time.Time{}, false
 	}
 	run := time.Duration(expectedRunMargin * float64(class.Expected.AsDuration()))
-	return time.Unix(0, in.ending.at.Load()).Add(-refusalTime - run), true
+	return in.ending.at.Load().Add(-refusalTime - run), true
 }
 
 // tooLateToStart reports whether a request of the class would be cut off by the
