Remove hop-by-hop headers before a node sets or reads its own

Cause: the headers that Connection names were removed where headers are passed on, after the node had set its own among them.

--- a/internal/link/header.go
+++ b/internal/link/header.go
@@ -89,6 +89,18 @@
 	}
 }
 
+// RemoveHopByHop removes the headers that concern one connection only. A node
+// calls it on what it receives before it reads or sets headers of its own: the
+// sender must not be able to have these removed by naming them in Connection.
+func RemoveHopByHop(h http.Header) {
+	for name := range connectionHeaders(h) {
+		delete(h, name)
+	}
+	for name := range hopByHop {
+		delete(h, name)
+	}
+}
+
 // connectionHeaders returns the names that the Connection header lists as
 // hop-by-hop; nil if there are none.
 func connectionHeaders(h http.Header) map[string]bool {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -305,6 +305,7 @@
 		return link.MayHaveRun(call, err.Error())
 	}
 	resp.Body = answer.Body(resp)
+	link.RemoveHopByHop(resp.Header)
 	kind := Executed
 	if t.dialect != nil {
 		kind = t.dialect.Classify(resp, *t.record(), call, sent.Reused())
