Send paths that begin with two slashes unchanged

Cause: the path was sent as URL.Opaque, and net/http writes an opaque part that begins with two slashes with its scheme.

Change: link.SetRequestTarget uses the URL's path for such targets and checks that what net/http will write is what the caller sent.

--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -396,7 +395,9 @@
 	link.CopyEndToEnd(req.Header, call.Header)
 	if t.dialect != nil {
 		req.Host = call.Host
-		req.URL.Opaque, req.URL.RawQuery = splitRequestTarget(call.Path)
+		if err := link.SetRequestTarget(req.URL, call.Path); err != nil {
+			return nil, err
+		}
 		t.dialect.Prepare(req.Header, *t.record(), call, item.Deadline.Sub(t.clock()))
 		link.PreventReplay(req)
 		return req, nil
@@ -410,13 +411,6 @@
 	return req, nil
 }
 
-// splitRequestTarget splits an HTTP request target into URL.Opaque and
-// URL.RawQuery, so that net/http sends it unchanged.
-func splitRequestTarget(path string) (opaque, query string) {
-	opaque, query, _ = strings.Cut(path, "?")
-	return opaque, query
-}
-
 func transportErrorReply(ctx context.Context, call *link.Call, err error, sent bool) *link.Reply {
 	switch {
 	case !sent && ctx.Err() != nil:
