Release failed answers that a later attempt replaces

Cause: sendWithRetries keeps a failed answer while it asks another target, and dropped it without closing it when the next attempt succeeded or failed as well, so that its reservation was never released.

Change: it is closed. All specs of the ingress now expect no held bytes and no requests in flight at their end.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -61,6 +61,7 @@
 	for {
 		reply := in.sendAttempt(ctx, &s)
 		if req.succeeded(reply) {
+			closeBody(failedAnswer)
 			return reply
 		}
 		outcome := s.countFailure(reply)
@@ -81,6 +82,7 @@
 		}
 		in.logAttempt(&s, reply, decision)
 		if reply.Outcome == fleet.Answered {
+			closeBody(failedAnswer)
 			failedAnswer = reply
 		}
 		s.retryPaid = s.retryPaid || decision.Retry && s.dispatched > 0 && in.cfg.UncountedRefusals
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -156,9 +156,9 @@
 	}
 }
 
-// AwaitFirstBundle returns when a bundle is in force, when Config.StartWait is
+// awaitFirstBundle returns when a bundle is in force, when Config.StartWait is
 // over, or when the caller has left.
-func (in *Ingress) AwaitFirstBundle(ctx context.Context) {
+func (in *Ingress) awaitFirstBundle(ctx context.Context) {
 	select {
 	case <-in.firstBundle:
 	case <-in.startWaitEnd:
@@ -184,7 +184,7 @@
 	inFlight := in.inFlight.Add(1)
 	defer in.inFlight.Add(-1)
 	start := in.cfg.Clock()
-	in.AwaitFirstBundle(r.Context())
+	in.awaitFirstBundle(r.Context())
 	req, problem := in.protocol.classify(r, start)
 	if problem == nil && inFlight > in.cfg.InFlight {
 		problem = req.problemBeforeAttempt(http.StatusServiceUnavailable, "the node holds its largest number of requests")
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -260,11 +260,15 @@
 	s := &testIngress{remote: &scriptedRemote{replies: replies}, owners: &fakeOwners{}}
 	cfg := ingress.Config{
 		Self: "self", Remote: s.remote, Owners: s.owners, Log: event.NewLogger(logger, nil),
-		Metrics: metric.NewSet(), Clock: time.Now, InFlight: 100,
+		Metrics: metric.NewSet(), Clock: time.Now, InFlight: 100, HeldBytes: 1 << 30,
 	}
 	change(&cfg)
 	s.config = cfg
 	s.in = ingress.New(cfg)
+	DeferCleanup(func() {
+		Eventually(s.in.InFlight, "10s", "5ms").Should(BeZero(), "requests in flight after the end of the spec")
+		Eventually(s.in.HeldBytes, "2s", "5ms").Should(BeZero(), "bytes held after the end of the spec")
+	})
 	s.setTargets(b, 3)
 	return s
 }
