Check announcements of unknown targets in the background

The check whether a target leaves kept its announcement waiting for up to 700 ms, and a target that could not be asked was only asked again with its next announcement, up to 1.5 s later.

Change: the announcement is acknowledged at once; the check goes on until the target answers, the announcement expires, or the target has announced itself for 5 s. The first announcement after a start is not checked: one that is late by seconds cannot come from a target that has left since.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -155,6 +155,27 @@
 	<-done
 }
 
+// stoppedWait is how long tryRunAndWait waits for the control goroutine, far
+// longer than it ever takes for one step.
+const stoppedWait = 5 * time.Second
+
+// tryRunAndWait is runAndWait for goroutines that may outlive the control
+// goroutine. It reports false if f was not run, or not in time.
+func (c *control) tryRunAndWait(f func()) bool {
+	done := make(chan struct{})
+	if !c.post(func() { defer close(done); f() }) {
+		return false
+	}
+	timer := time.NewTimer(stoppedWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // post queues f for the control goroutine and does not wait. It reports false
 // when the inbox is full and f was dropped.
 func (c *control) post(f func()) bool {
--- a/internal/node/leaving_check.go
+++ b/internal/node/leaving_check.go
@@ -11,128 +11,142 @@
 
 const (
 	// leavingCheckTimeout bounds the wait for a target's answer whether it is
-	// leaving, and leavingCheckBundleWait the wait for the bundle that holds the
-	// path of the question. Together they stay below the second within which an
-	// announcement is acknowledged.
-	leavingCheckTimeout    = 300 * time.Millisecond
-	leavingCheckBundleWait = 400 * time.Millisecond
+	// leaving.
+	leavingCheckTimeout = 300 * time.Millisecond
+	// leavingCheckInterval is the pause before a target that did not answer is
+	// asked again, and bundlePollInterval the same while there is no bundle, which
+	// holds the path of the question.
+	leavingCheckInterval = 500 * time.Millisecond
+	bundlePollInterval   = 50 * time.Millisecond
 	// lateAnnouncement is the age from which an announcement is not expected to
 	// arrive any more.
 	lateAnnouncement = 5 * time.Second
 )
 
-// leavingChecks decides whether the announcement of a target that this process
-// has not heard from is to be believed. An earlier process of the node may have
-// been told that the target leaves, and the announcement may have been sent
-// before that, so the target itself is asked. The control goroutine owns it.
+// leavingChecks holds the announcements of targets that this process has not
+// heard from before, until the targets have been asked whether they leave. An
+// earlier process of the node may have been told so after the announcement was
+// sent. The control goroutine owns it.
 type leavingChecks struct {
-	// unanswered holds the targets that have not answered yet.
-	unanswered map[fleet.TargetID]unansweredCheck
+	running map[fleet.TargetID]*leavingCheck
 }
 
-type unansweredCheck struct {
-	started  time.Time // Target.Started
-	sequence uint64    // of the first announcement that was not believed
-	since    time.Time
+// leavingCheck is the check of one start of a target.
+type leavingCheck struct {
+	first, latest     announce.LocalAnnounced
+	firstAt, latestAt time.Time
 }
 
-// needed reports whether the target must be asked before an announcement from
-// it, the first one that this process accepts, is believed. A target that has
-// just started cannot have left.
-func (l *leavingChecks) needed(now time.Time, ev announce.LocalAnnounced) bool {
-	if ev.Draining || ev.Sequence == 0 {
-		return false
-	}
-	age := now.Sub(ev.Target.Started)
-	return ev.Sequence > 1 || !ev.Target.Started.IsZero() && (age < 0 || age >= lateAnnouncement)
+// needsLeavingCheck reports whether the target must be asked before an
+// announcement, the first one that this process accepts from it, takes effect. The
+// first announcement of a target after its start does not need it.
+func needsLeavingCheck(ev announce.LocalAnnounced) bool {
+	return !ev.Draining && ev.Sequence > 1
 }
 
-// unansweredBy records that the target could not be asked or did not answer, and
-// reports whether its announcement is to be believed all the same. That is the
-// case if the target still announces itself when all announcements that it sent
-// before the first one have arrived.
-func (l *leavingChecks) unansweredBy(now time.Time, ev announce.LocalAnnounced) (believe bool) {
-	first, ok := l.unanswered[ev.Target.ID]
-	if !ok || !first.started.Equal(ev.Target.Started) {
-		if l.unanswered == nil || len(l.unanswered) >= announce.MaxLocal {
-			l.unanswered = make(map[fleet.TargetID]unansweredCheck)
-		}
-		l.unanswered[ev.Target.ID] = unansweredCheck{started: ev.Target.Started, sequence: ev.Sequence, since: now}
+// add adds an announcement. It reports whether a check of the target has to be
+// started.
+func (l *leavingChecks) add(now time.Time, ev announce.LocalAnnounced) (start bool) {
+	if l.running == nil {
+		l.running = make(map[fleet.TargetID]*leavingCheck)
+	}
+	check := l.running[ev.Target.ID]
+	switch {
+	case check == nil && len(l.running) >= announce.MaxLocal:
 		return false
+	case check == nil || ev.Target.Started.After(check.first.Target.Started):
+		l.running[ev.Target.ID] = &leavingCheck{ev, ev, now, now}
+		return true
+	case ev.Target.Started.Equal(check.first.Target.Started) && ev.Sequence > check.latest.Sequence:
+		check.latest, check.latestAt = ev, now
 	}
-	return ev.Sequence > first.sequence && now.Sub(first.since) >= lateAnnouncement
+	return false
 }
 
-// answeredBy forgets a target that has answered or is believed.
-func (l *leavingChecks) answeredBy(id fleet.TargetID) { delete(l.unanswered, id) }
-
-// announcementVerdict says what is to be done with an announcement.
-type announcementVerdict uint8
-
-const (
-	announcementBelieved announcementVerdict = iota
-	// announcementUnconfirmed: the target may have left, so it is not put into
-	// use. Its next announcement is checked again.
-	announcementUnconfirmed
-	// announcementLeft: the target says that it leaves.
-	announcementLeft
-)
-
-// checkAnnouncement asks a target that this process hears from for the first
-// time whether it is leaving.
-func (l localTargets) checkAnnouncement(ctx context.Context, ev announce.LocalAnnounced) announcementVerdict {
-	c := l.control
-	if c.node.adapter == nil {
-		return announcementBelieved
+// finish ends the check of a target if its result is known. The announcement
+// takes effect if the target answered that it does not leave, or if it did not
+// answer but still announces itself when all announcements that it sent before the
+// first one have arrived.
+func (l *leavingChecks) finish(now time.Time, t fleet.Target, leaving, answered bool) (result announce.Event, done bool) {
+	check := l.running[t.ID]
+	if check == nil || !check.first.Target.Started.Equal(t.Started) {
+		return nil, true // another start of the target is checked
 	}
-	var needed bool
-	c.runAndWait(func() { needed = c.leavingChecks.needed(time.Now(), ev) && !c.targets.HeardFrom(ev.Target) })
-	if !needed {
-		return announcementBelieved
+	switch {
+	case leaving:
+		result = announce.LocalLeft{ID: t.ID, Started: t.Started}
+	case answered, check.latestAt.Sub(check.firstAt) >= lateAnnouncement:
+		result = check.latest
+	case now.Sub(check.latestAt) < check.latest.TTL:
+		return nil, false
 	}
-	leaving, answered := l.askLeaving(ctx, ev.Target)
-	verdict := announcementBelieved
+	delete(l.running, t.ID)
+	return result, true
+}
+
+// AnnounceNumbered implements announce.LocalTargets. An announcement that needs
+// a check is acknowledged at once and takes effect after the check.
+func (l localTargets) AnnounceNumbered(_ context.Context, ev announce.LocalAnnounced) error {
+	c := l.control
+	var err error
+	var check bool
 	c.runAndWait(func() {
-		switch {
-		case answered:
-			c.leavingChecks.answeredBy(ev.Target.ID)
-			if leaving {
-				verdict = announcementLeft
-			}
-		case c.leavingChecks.unansweredBy(time.Now(), ev):
-			c.leavingChecks.answeredBy(ev.Target.ID)
-		default:
-			verdict = announcementUnconfirmed
+		if c.node.adapter == nil || !needsLeavingCheck(ev) || c.targets.HeardFrom(ev.Target) {
+			err = c.stepTargets(ev)
+			return
 		}
+		check = c.leavingChecks.add(time.Now(), ev)
 	})
-	if verdict == announcementUnconfirmed {
-		c.node.log.Log(event.AnnouncementUnconfirmed, event.Fields{"target": ev.Target.ID})
+	if check {
+		go l.check(ev.Target)
 	}
-	return verdict
+	return err
 }
 
-// askLeaving asks a target by a health check whether it is leaving. answered is
-// false if there is no bundle yet, which holds the path of health checks, or no
-// answer in time. A target whose service has no health checks counts as not
-// leaving.
-func (l localTargets) askLeaving(ctx context.Context, t fleet.Target) (leaving, answered bool) {
+// check asks a target whether it leaves until it answers or its announcement has
+// expired.
+func (l localTargets) check(t fleet.Target) {
 	c := l.control
-	waitCtx, cancel := context.WithTimeout(ctx, leavingCheckBundleWait)
-	c.node.ingress.AwaitFirstBundle(waitCtx)
-	cancel()
-	known, healthPath := false, ""
-	c.runAndWait(func() {
-		if known = c.bundle != nil; !known {
+	for logged := false; ; logged = true {
+		leaving, answered, hasBundle := l.askLeaving(t)
+		var done bool
+		if !c.tryRunAndWait(func() {
+			var result announce.Event
+			if result, done = c.leavingChecks.finish(time.Now(), t, leaving, answered); result != nil {
+				// A rejected event means that the registry knows something newer.
+				_ = c.stepTargets(result)
+			}
+		}) || done {
 			return
 		}
-		if s := c.bundle.Service(t.Service); s != nil {
-			healthPath = s.HealthPath
+		if !logged {
+			c.node.log.Log(event.AnnouncementUnconfirmed, event.Fields{"target": t.ID})
 		}
-	})
-	if !known || healthPath == "" {
-		return false, known
+		if hasBundle {
+			time.Sleep(leavingCheckInterval)
+		} else {
+			time.Sleep(bundlePollInterval)
+		}
+	}
+}
+
+// askLeaving asks a target by a health check whether it leaves. answered is false
+// if it did not answer in time or could not be asked because there is no bundle.
+// A target whose service has no health checks counts as not leaving.
+func (l localTargets) askLeaving(t fleet.Target) (leaving, answered, hasBundle bool) {
+	c := l.control
+	healthPath := ""
+	if !c.tryRunAndWait(func() {
+		if hasBundle = c.bundle != nil; hasBundle {
+			if s := c.bundle.Service(t.Service); s != nil {
+				healthPath = s.HealthPath
+			}
+		}
+	}) || !hasBundle || healthPath == "" {
+		return false, hasBundle, hasBundle
 	}
-	ctx, cancel = context.WithTimeout(ctx, leavingCheckTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), leavingCheckTimeout)
 	defer cancel()
-	return c.node.adapter.CheckLeaving(ctx, t, healthPath)
+	leaving, answered = c.node.adapter.CheckLeaving(ctx, t, healthPath)
+	return leaving, answered, true
 }
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -26,19 +26,6 @@
 	return l.step(announce.LocalRemoved{ID: id})
 }
 
-// AnnounceNumbered implements announce.LocalTargets. An announcement that is not
-// believed is acknowledged, but does not put the target into use.
-func (l localTargets) AnnounceNumbered(ctx context.Context, ev announce.LocalAnnounced) error {
-	switch l.checkAnnouncement(ctx, ev) {
-	case announcementLeft:
-		return l.step(announce.LocalLeft{ID: ev.Target.ID, Started: ev.Target.Started})
-	case announcementUnconfirmed:
-		return nil
-	default:
-		return l.step(ev)
-	}
-}
-
 func (l localTargets) Leave(_ context.Context, ev announce.LocalLeft) error { return l.step(ev) }
 
 // targetSaysLeaving marks a local target as leaving because one of its answers
