Let a node that has joined wait for its stand-in before it grants quotas

Cause: a joined node began to grant 1.5 s after it first knew another one, and the node that stands in for it stopped 1.5 s after it had learnt of the joined one, which is later.

Change: the joined node begins, and its bucket fills, half a second later.

--- a/internal/quota/members.go
+++ b/internal/quota/members.go
@@ -105,7 +105,7 @@
 	}
 	if !m.joined && n.Usable() {
 		m.joined, m.joinedAt, m.heardAt = true, now, now
-		m.accrueFrom = now + handover
+		m.accrueFrom = now + handover + joinSpread
 	}
 	before := *known
 	known.update(now, n)
@@ -171,7 +171,7 @@
 	if !m.joined {
 		return m.alone
 	}
-	return now >= m.joinedAt+handover && !m.isolated(now)
+	return now >= m.joinedAt+handover+joinSpread && !m.isolated(now)
 }
 
 // recount updates the counts of nodes if they may have changed.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -15,6 +15,7 @@
 
 	"siskinvale.dev/siskinvale/internal/bundle"
 	controlv1 "siskinvale.dev/siskinvale/internal/control/v1"
+	"siskinvale.dev/siskinvale/internal/fleet"
 )
 
 func TestQuota(t *testing.T) {
@@ -69,6 +70,36 @@
 	})
 })
 
+// Guards against two nodes that grant the same quota, because a node that has
+// restarted begins before the one that stands in for it knows of it.
+var _ = Describe("the owner of a quota", func() {
+	It("is one node at a time while nodes are killed and restart", func() {
+		for seed := range uint64(40) {
+			s := newSim(seed, 4+int(seed%8), testConfig, bundle.Quota{RequestsPerSecond: 100, Burst: 10})
+			s.loss = float64(seed%4) / 10
+			org := orgHash("org")
+			s.every(5*ms, func() {
+				var owners []fleet.NodeID
+				for _, n := range s.nodes {
+					if n.machine != nil && n.machine.members.grants(s.now) && n.machine.members.standing(s.now, org).owner {
+						owners = append(owners, n.id)
+					}
+				}
+				Expect(len(owners)).To(BeNumerically("<=", 1), "seed %d: %v at %v", seed, owners, s.now)
+			})
+			s.runUntil(2 * time.Second)
+			for range 6 {
+				s.fault("kill and restart", s.ranked("org")[s.rnd.IntN(2)])
+				if s.rnd.IntN(2) == 0 {
+					s.fault("kill half", nil)
+				}
+				s.runUntil(s.now + s.between(0, 4*time.Second))
+			}
+			s.runUntil(s.now + 8*time.Second)
+		}
+	})
+})
+
 var faults = []string{"kill", "kill and restart", "leave", "cut", "halve", "heal", "lower", "raise", "kill half"}
 
 func (s *sim) fault(kind string, n *simNode) {
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -34,6 +34,10 @@
 	// handover is how long a node that has joined leaves its organisations to
 	// the next in order, so that all nodes know of it before it grants.
 	handover = 1500 * time.Millisecond
+	// joinSpread is how much later the last node may learn of a node that has
+	// joined. The node begins to grant that much after handover, so that the one
+	// that stands in has stopped.
+	joinSpread = 500 * time.Millisecond
 	// contactLimit is the longest time without a datagram after which an owner
 	// stops granting. It is shorter than the time in which membership declares
 	// a silent node dead and another node takes its place.
