Probe targets with calls of local targets where nothing else can

Cause: only requests that can be retried probe a target in bad standing, and calls of targets were never used for that, because a run holds its slot while its call is retried.

Change: calls of local targets probe if callers have sent the service no idempotent requests for 10 s. They are retried like others if the probe fails.

Measured: the new spec of the ingress failed before.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -56,7 +56,7 @@
 	in.countForHedging(req)
 	in.classifyOrigin(req, ownBudget)
 	budget := in.retryBudget(req)
-	s := attemptSeries{req: req, budget: budget}
+	s := attemptSeries{req: req, budget: budget, mayProbe: in.mayProbe(req)}
 	var failedAnswer *link.Reply // a target's own answer with a failure status
 	for {
 		reply := in.sendAttempt(ctx, &s)
@@ -104,6 +104,9 @@
 type attemptSeries struct {
 	req    *request
 	budget budget
+	// mayProbe is set if the request may find out whether a target's failure
+	// episode has ended, as long as it can be retried.
+	mayProbe bool
 	// tried holds the targets that were asked, busy those of them that refused
 	// a no-wait call because no slot was free.
 	tried, busy []fleet.TargetID
@@ -157,10 +160,29 @@
 // Such an attempt is not used to test whether a target's failure episode has
 // ended.
 func (s *attemptSeries) final(now time.Time) bool {
-	if s.req.nested {
-		return true // if the call fails, the run that made it fails as well
+	return !s.mayProbe || s.dispatched+1 >= s.req.class.Attempts || !s.budget.Available(now)
+}
+
+// callerProbeMemory is how long after an idempotent request of a caller calls of
+// local targets to the same service are not used as probes.
+const callerProbeMemory = 10 * time.Second
+
+// mayProbe reports whether the request may be sent to a target to find out
+// whether its failure episode has ended. Calls of local targets are used for
+// that only if callers have sent no idempotent requests to the service lately:
+// while a call is retried, the run that made it holds its slot. Without any
+// probe, a target that has recovered would get no request for seconds.
+func (in *Ingress) mayProbe(req *request) bool {
+	if !req.class.Idempotent {
+		return false
+	}
+	now := in.cfg.Clock()
+	if !req.nested {
+		in.callerProbes.Store(req.service, now)
+		return true
 	}
-	return !s.req.class.Idempotent || s.dispatched+1 >= s.req.class.Attempts || !s.budget.Available(now)
+	last, ok := in.callerProbes.Load(req.service)
+	return !ok || now.Sub(last.(time.Time)) >= callerProbeMemory
 }
 
 // finalReply returns what is known about the request as a whole. A target's own
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -111,6 +111,9 @@
 	// the average number of calls that one run of the service makes, by called
 	// service.
 	callsPerRun sync.Map
+	// callerProbes maps a service to the time at which a caller last sent an
+	// idempotent request for it.
+	callerProbes sync.Map
 	// loanRefusals maps a service to the time at which other nodes last lent too
 	// few retries for it.
 	loanRefusals sync.Map
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -491,6 +491,43 @@
 		Expect(nested()).To(BeFalse())
 	})
 
+	// Guards against a target that gets no request for seconds after it has
+	// recovered, because all requests that could find it out are calls of targets.
+	It("finds out with calls of local targets whether a target has recovered, if nothing else can", func() {
+		now, running := time.Now(), int64(0)
+		s := newTestIngressWith(func(c *ingress.Config) {
+			c.UncountedRefusals, c.Clock = true, func() time.Time { return now }
+			c.LocalRuns = func() ingress.LocalRuns { return ingress.LocalRuns{Active: running} }
+		}, answered("ok"))
+		last := func() (nested, final bool) {
+			i := len(s.remote.finalFlags) - 1
+			return s.remote.nestedFlags[i], s.remote.finalFlags[i]
+		}
+		for range 30 {
+			s.send("POST", "/notes", "x")
+		}
+		running = 1
+		for range 15 {
+			s.send("GET", "/kits/1", "")
+			now = now.Add(time.Second)
+		}
+		nested, final := last()
+		Expect(nested).To(BeTrue())
+		Expect(final).To(BeFalse(), "callers send only requests that may run once")
+		running = 0
+		s.send("POST", "/searches", "x")
+		s.send("POST", "/searches", "x")
+		running = 1
+		s.send("GET", "/kits/1", "")
+		nested, final = last()
+		Expect(nested).To(BeTrue())
+		Expect(final).To(BeTrue(), "requests of callers find it out")
+		now = now.Add(time.Minute)
+		s.send("GET", "/kits/1", "")
+		_, final = last()
+		Expect(final).To(BeFalse())
+	})
+
 	// Guards against retries that are charged without the calls that the
 	// retried run makes again.
 	It("estimates the number of calls that a run at a local target makes", func() {
