Do not give up the check of a target while the control goroutine is busy

The check of a target that may have left ended if the inbox of the control goroutine was full or a step took more than 5 s, and the target then stayed out of use for good. Found by reading the diff.

Change: it waits for the control goroutine and ends only with it.

Measured: the specs of the check and "Fleet" pass, with the race detector.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -50,6 +50,7 @@
 type control struct {
 	node      *Node
 	inbox     chan func()
+	ended     chan struct{} // closed when run has returned
 	transport *membership.Transport
 
 	members  *membership.Machine
@@ -127,6 +128,7 @@
 	c := &control{
 		node:          n,
 		inbox:         make(chan func(), inboxSize),
+		ended:         make(chan struct{}),
 		members:       membership.New(self, n.membershipConfig(), self.Incarnation),
 		targets:       announce.New(self),
 		rollout:       rollout.New(self.ID, n.bundleVerifier(), n.rolloutConfig()),
@@ -155,23 +157,19 @@
 	<-done
 }
 
-// stoppedWait is how long tryRunAndWait waits for the control goroutine, far
-// longer than it ever takes for one step.
-const stoppedWait = 5 * time.Second
-
 // tryRunAndWait is runAndWait for goroutines that may outlive the control
-// goroutine. It reports false if f was not run, or not in time.
+// goroutine. It reports false if the control goroutine has ended.
 func (c *control) tryRunAndWait(f func()) bool {
 	done := make(chan struct{})
-	if !c.post(func() { defer close(done); f() }) {
+	select {
+	case c.inbox <- func() { defer close(done); f() }:
+	case <-c.ended:
 		return false
 	}
-	timer := time.NewTimer(stoppedWait)
-	defer timer.Stop()
 	select {
 	case <-done:
 		return true
-	case <-timer.C:
+	case <-c.ended:
 		return false
 	}
 }
@@ -230,6 +228,7 @@
 // run executes queued functions and timer ticks until ctx ends. It publishes a
 // new view when one of them changed the state, see publish.
 func (c *control) run(ctx context.Context) {
+	defer close(c.ended)
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
 	c.node.log.Log(event.BundleAwaited, nil)
--- a/internal/node/leaving_check.go
+++ b/internal/node/leaving_check.go
@@ -110,13 +110,13 @@
 	for logged := false; ; logged = true {
 		leaving, answered, hasBundle := l.askLeaving(t)
 		var done bool
-		if !c.tryRunAndWait(func() {
+		if running := c.tryRunAndWait(func() {
 			var result announce.Event
 			if result, done = c.leavingChecks.finish(time.Now(), t, leaving, answered); result != nil {
 				// A rejected event means that the registry knows something newer.
 				_ = c.stepTargets(result)
 			}
-		}) || done {
+		}); !running || done {
 			return
 		}
 		if !logged {
@@ -136,13 +136,14 @@
 func (l localTargets) askLeaving(t fleet.Target) (leaving, answered, hasBundle bool) {
 	c := l.control
 	healthPath := ""
-	if !c.tryRunAndWait(func() {
+	running := c.tryRunAndWait(func() {
 		if hasBundle = c.bundle != nil; hasBundle {
 			if s := c.bundle.Service(t.Service); s != nil {
 				healthPath = s.HealthPath
 			}
 		}
-	}) || !hasBundle || healthPath == "" {
+	})
+	if !running || healthPath == "" {
 		return false, hasBundle, hasBundle
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), leavingCheckTimeout)
