Let the connection of a spec be established before it is reset

Change: the stand-in waits for the first byte of the client. The assertion is the same; the spec still fails without the check it guards.

--- a/internal/conn/reset_test.go
+++ b/internal/conn/reset_test.go
@@ -30,10 +30,13 @@
 
 	It("fails to read after a write has failed because of a reset", func() {
 		c := dial(func(server *net.TCPConn) {
+			// A reset before the client has seen its connection makes the dial fail.
+			_, _ = server.Read(make([]byte, 1))
 			_, _ = io.WriteString(server, "part")
 			_ = server.SetLinger(0)
 			server.Close()
 		})
+		Expect(c.Write([]byte("x"))).To(Equal(1))
 		Eventually(func() error { _, err := c.Write([]byte("x")); return err }, "2s", "1ms").Should(HaveOccurred())
 		_, err := io.ReadAll(c)
 		Expect(err).To(HaveOccurred())
