--- a/review/standins-3/case_restored.go
+++ b/review/standins-3/case_restored.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -29,7 +30,9 @@
 
 // restored lets the store come back from a copy that is 9 s old, as on the
 // users' day of that name, and has the lost configuration written again some
-// seconds later.
+// seconds later. The nodes start for the first time after the copy was taken; with
+// VARIANT=killed they run before, and all are killed once they have the new
+// version.
 func restored(f *fleet, trouble bool) (breaks []string, err error) {
 	for i, service := range []string{oldService, newService, oldService, newService} {
 		s := &server{serve: func(s *server, c net.Conn, _ *bufio.Reader, r *http.Request) bool {
@@ -44,13 +47,27 @@
 	routes := func(service string) []route {
 		return []route{{name: "r-1", host: "ficu95.example", prefix: "/lohu930/", kind: "idempotent", service: service, timeoutMS: 3000, targetMS: 1000, attempts: 2}}
 	}
+	killed := os.Getenv("VARIANT") == "killed"
 	f.writeConfiguration(oldVersion, routes(oldService))
+	if killed {
+		if err := f.startAll(); err != nil {
+			return nil, err
+		}
+		if err := f.awaitReady(8 * time.Second); err != nil {
+			return nil, err
+		}
+	}
 	time.Sleep(500 * time.Millisecond)
 	snapshot, snapshotAt := f.store.Copy(), time.Now()
 	f.rec.log("store: the copy is taken")
 	time.Sleep(time.Second)
 	f.writeConfiguration(newVersion, routes(newService))
 	time.Sleep(200 * time.Millisecond)
+	if killed {
+		time.Sleep(time.Second)
+		f.killAll()
+		time.Sleep(300 * time.Millisecond)
+	}
 	if err := f.startAll(); err != nil {
 		return nil, err
 	}
--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -203,6 +203,18 @@
 	return nil
 }
 
+// killAll kills all nodes at the same moment.
+func (f *fleet) killAll() {
+	for _, m := range f.machines {
+		_ = m.cmd.Process.Kill()
+		m.firstStart = false
+	}
+	for _, m := range f.machines {
+		<-m.exited
+	}
+	f.rec.log("all nodes are killed")
+}
+
 func (f *fleet) awaitReady(limit time.Duration) error {
 	end := time.Now().Add(limit)
 	for _, m := range f.machines {
