--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-3 late review/14/record.txt
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,7 @@
 	headerInstance    = "X-Siskinvale-Instance-Id"
 	headerNotExecuted = "X-Siskinvale-Not-Executed"
 	headerLoad        = "X-Siskinvale-Instance-Load"
+	headerLeaving     = "Server-Leaving"
 )
 
 // server is an application server as the pages describe it. It speaks HTTP/1.1.
@@ -30,10 +32,13 @@
 	slots             int
 	// serve handles a request that is for this server. It returns false if the
 	// connection is to be closed.
-	serve    func(s *server, c net.Conn, buffered *bufio.Reader, r *http.Request) bool
+	serve func(s *server, c net.Conn, buffered *bufio.Reader, r *http.Request) bool
+	// silent stops the periodic heartbeats.
+	silent   bool
 	machine  *machine
 	rec      *record
 	listener net.Listener
+	leaving  atomic.Bool
 
 	mu       sync.Mutex
 	sequence int
@@ -72,20 +77,9 @@
 
 // heartbeats announces the server to its node.
 func (s *server) heartbeats() {
-	client := &http.Client{Timeout: time.Second}
-	for {
-		s.mu.Lock()
-		s.sequence++
-		body, _ := json.Marshal(map[string]any{
-			"service": s.service, "address": s.addr, "zone": s.machine.zone, "version": "v1", "slots": s.slots, "state": "ready",
-			"cold_remaining_ms": 0, "sequence": s.sequence, "born": s.born,
-		})
-		s.mu.Unlock()
+	for !s.silent {
 		wait := heartbeatInterval
-		resp, err := client.Post("http://"+s.machine.addr(portControl)+"/instances/"+s.id+"/heartbeat", "application/json", strings.NewReader(string(body)))
-		if err == nil {
-			resp.Body.Close()
-		} else {
+		if !s.post("heartbeat", s.heartbeat()) {
 			wait = heartbeatInterval / 5
 		}
 		select {
@@ -96,6 +90,41 @@
 	}
 }
 
+// heartbeat returns the body of the next heartbeat.
+func (s *server) heartbeat() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	body, err := json.Marshal(map[string]any{
+		"service": s.service, "address": s.addr, "zone": s.machine.zone, "version": "v1", "slots": s.slots, "state": "ready",
+		"cold_remaining_ms": 0, "sequence": s.sequence, "born": s.born,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return string(body)
+}
+
+// post sends what the server says of itself to its node and reports whether the
+// node acknowledged it within a second.
+func (s *server) post(call, body string) bool {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Post("http://"+s.machine.addr(portControl)+"/instances/"+s.id+"/"+call, "application/json", strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// statement is the header by which a server that leaves says so.
+func (s *server) statement() string {
+	if s.leaving.Load() {
+		return headerLeaving + ": 1\r\n"
+	}
+	return ""
+}
+
 func (s *server) serveConn(c net.Conn) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
@@ -106,7 +135,11 @@
 		}
 		switch {
 		case r.URL.Path == "/healthz":
-			_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+headerInstance+": "+s.id+"\r\nContent-Length: 0\r\n\r\n")
+			status := "200 OK"
+			if s.leaving.Load() {
+				status = "503 Service Unavailable"
+			}
+			_, err = io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+headerInstance+": "+s.id+"\r\n"+s.statement()+"Content-Length: 0\r\n\r\n")
 			if err != nil {
 				return
 			}
@@ -124,7 +157,7 @@
 
 // answer writes a whole answer of the server to a request that it has run.
 func (s *server) answer(c net.Conn, r *http.Request, status int, body string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: signed-by-%s\r\n%s: 1,0,%d\r\nContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), headerAttempt, r.Header.Get(headerAttempt), headerSignature, s.id, headerLoad, s.slots, len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: signed-by-%s\r\n%s: 1,0,%d\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), headerAttempt, r.Header.Get(headerAttempt), headerSignature, s.id, headerLoad, s.slots, s.statement(), len(body), body)
 	return err == nil
 }
