--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-3 ] && [ -x target/siskinvale-node ] || exit 2
 exec target/review-3 late review/14/record.txt
--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -9,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"siskinvale.dev/siskinvale/platform/storetest"
@@ -42,6 +42,16 @@
 	storeURL string
 	machines []*machine
 	away     gate
+
+	mu        sync.Mutex
+	stopped   bool
+	processes []process // all that were started
+}
+
+// process is one process of a node.
+type process struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // machine has one node, which is a process of its own, and one server.
@@ -169,12 +179,17 @@
 	cmd := exec.Command("target/siskinvale-node", "--config", m.settingsFile)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SISKINVALE_SETTINGS=" + m.settingsFile}
 	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	if m.fleet.stopped {
+		return errors.New("the case has ended")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
 	m.cmd, m.exited = cmd, exited
+	m.fleet.processes = append(m.fleet.processes, process{cmd, exited})
 	go func() {
 		_ = cmd.Wait()
 		close(exited)
@@ -230,15 +245,18 @@
 }
 
 // stop ends all processes and removes the files, which are kept if KEEP is set.
+// No process starts after it.
 func (f *fleet) stop() {
+	f.mu.Lock()
+	f.stopped = true
+	processes := f.processes
+	f.mu.Unlock()
 	for _, m := range f.machines {
 		m.server.stop()
-		if m.cmd == nil {
-			continue
-		}
-		_ = m.cmd.Process.Signal(syscall.SIGCONT)
-		_ = m.cmd.Process.Kill()
-		<-m.exited
+	}
+	for _, p := range processes {
+		_ = p.cmd.Process.Kill()
+		<-p.exited
 	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -6,6 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 const (
@@ -18,6 +21,22 @@
 // the breaks that it saw.
 var cases = map[string]func(f *fleet, trouble bool) (breaks []string, err error){}
 
+// longest is how long a case may run.
+const longest = 110 * time.Second
+
+// stopEarly ends the case and its processes when it is interrupted or takes too
+// long.
+func stopEarly(f *fleet) {
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-interrupted:
+	case <-time.After(longest):
+	}
+	f.stop()
+	os.Exit(exitNotRun)
+}
+
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
@@ -36,6 +55,7 @@
 		return exitNotRun
 	}
 	defer f.stop()
+	go stopEarly(f)
 	breaks, err := cases[args[0]](f, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		rec.log("could not run: %v", err)
